Whole path on the platform: entries that send to backend servers directly

Cause: the product had no way onto the users' platform: nothing spoke its store, its headers or its settings. Change: packages engine-model (the published pass model), registry (what is known of the fleet, by revision), placement (choice by the effect on first tokens and pauses), forwarding (one process a request), membership (following the store), gateway (start, readiness, stop); platform/ decodes wire names once; deploy/system.toml runs one entry a host.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'scripts/', 'eslint.config.js'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'scripts/', 'eslint.config.js'] },
   eslint.configs.recommended,
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
--- /dev/null
+++ b/packages/forwarding/src/attempt.ts
@@ -0,0 +1,195 @@
+/** An attempt: one request to one backend server, on a connection of its own. */
+import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import { type Clock } from '@toucanbend/core';
+import { type AnswerHead, type Dialect, type RawHeaders } from './dialect.js';
+import { endToEndHeaders, headersByName } from './headers.js';
+
+/** How an attempt failed. */
+export enum AttemptFailure {
+  /** No connection was made, so that no byte of the request was sent. */
+  NotSent = 'not_sent',
+  /** The server says that it did not run the request. */
+  NotRun = 'not_run',
+  /** The connection or the answer broke off, or the answer is not this request's: it may have run. */
+  InDoubt = 'in_doubt',
+}
+
+/** The head of a server's answer. */
+export interface AnswerStart extends AnswerHead {
+  readonly status: number;
+  /** Headers that are passed on. */
+  readonly headers: RawHeaders;
+}
+
+/** What an attempt reports, in the order in which it happens. */
+export type AttemptEvent =
+  | { readonly type: AttemptEventType.Started; readonly start: AnswerStart }
+  | { readonly type: AttemptEventType.Body; readonly chunk: Buffer }
+  | { readonly type: AttemptEventType.Ended }
+  | { readonly type: AttemptEventType.Failed; readonly failure: AttemptFailure; readonly detail: string };
+
+/** The kinds of {@link AttemptEvent}. */
+export enum AttemptEventType {
+  Started = 'started',
+  Body = 'body',
+  /** The answer is whole. */
+  Ended = 'ended',
+  Failed = 'failed',
+}
+
+/** What an attempt sends, and where. */
+export interface AttemptOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly requestId: string;
+  /** Longest time for a connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  readonly clock: Clock;
+  readonly dialect: Dialect;
+  readonly report: (event: AttemptEvent) => void;
+}
+
+/** A running attempt. */
+export interface Attempt {
+  /** Whether a connection was made, so that the server may have the request. */
+  isSent(): boolean;
+  /** Ends the attempt; nothing is reported any more. */
+  cancel(): void;
+}
+
+function methodHasBody(options: AttemptOptions): boolean {
+  return options.body.length > 0 || options.method === 'POST' || options.method === 'PUT';
+}
+
+function readStart(options: AttemptOptions, message: IncomingMessage): AnswerStart {
+  const status = message.statusCode ?? 0;
+  const head = options.dialect.readAnswer(status, message.headers);
+  return { ...head, status, headers: endToEndHeaders(message.rawHeaders, message.headers) };
+}
+
+/** Reports on one attempt: what comes after its end is dropped. */
+class AttemptReporter {
+  readonly #options: AttemptOptions;
+  #isOver = false;
+  isSent = false;
+
+  constructor(options: AttemptOptions) {
+    this.#options = options;
+  }
+
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
+  report(event: AttemptEvent): void {
+    if (!this.#isOver) {
+      this.#isOver = event.type === AttemptEventType.Ended || event.type === AttemptEventType.Failed;
+      this.#options.report(event);
+    }
+  }
+
+  fail(failure: AttemptFailure, detail: string): void {
+    this.report({ type: AttemptEventType.Failed, failure, detail });
+  }
+
+  breakOff(detail: string): void {
+    this.fail(this.isSent ? AttemptFailure.InDoubt : AttemptFailure.NotSent, detail);
+  }
+
+  mute(): void {
+    this.#isOver = true;
+  }
+}
+
+function followAnswer(
+  options: AttemptOptions,
+  reporter: AttemptReporter,
+  outgoing: ClientRequest,
+  message: IncomingMessage,
+): void {
+  const start = readStart(options, message);
+  message.on('error', (error) => {
+    reporter.breakOff(`answer broke off: ${error.message}`);
+  });
+  if (start.isNotRun) {
+    reporter.fail(AttemptFailure.NotRun, `status ${String(start.status)}`);
+    message.resume();
+    return;
+  }
+  if (start.requestId !== options.requestId) {
+    reporter.breakOff('answer of another request');
+    outgoing.destroy();
+    return;
+  }
+  reporter.report({ type: AttemptEventType.Started, start });
+  message.on('data', (chunk: Buffer) => {
+    reporter.report({ type: AttemptEventType.Body, chunk });
+  });
+  message.on('end', () => {
+    if (message.complete) {
+      reporter.report({ type: AttemptEventType.Ended });
+    }
+  });
+  message.on('close', () => {
+    reporter.breakOff('answer ended early');
+  });
+}
+
+/**
+ * Starts an attempt.
+ *
+ * @param options - what is sent, where, and who is told
+ * @returns the attempt
+ */
+export function startAttempt(options: AttemptOptions): Attempt {
+  const reporter = new AttemptReporter(options);
+  const headers = headersByName(options.headers);
+  if (methodHasBody(options)) {
+    headers['Content-Length'] = String(options.body.length);
+  }
+  const outgoing = httpRequest({
+    host: options.host,
+    port: options.port,
+    method: options.method,
+    path: options.path,
+    headers,
+    agent: false,
+  });
+  const cancelTimer = options.clock.after(options.connectTimeoutMs, () => {
+    if (!reporter.isSent) {
+      reporter.fail(AttemptFailure.NotSent, 'no connection in time');
+      outgoing.destroy();
+    }
+  });
+  outgoing.on('socket', (socket) => {
+    socket.setNoDelay(true);
+    socket.once('connect', () => {
+      cancelTimer();
+      reporter.isSent = true;
+    });
+  });
+  outgoing.on('response', (message) => {
+    followAnswer(options, reporter, outgoing, message);
+  });
+  outgoing.on('error', (error) => {
+    cancelTimer();
+    reporter.breakOff(error.message);
+  });
+  outgoing.on('close', () => {
+    cancelTimer();
+    reporter.breakOff('connection closed');
+  });
+  outgoing.end(options.body);
+  return {
+    isSent: () => reporter.isSent,
+    cancel: () => {
+      cancelTimer();
+      reporter.mute();
+      outgoing.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/caller-port.ts
@@ -0,0 +1,261 @@
+/** The port for callers: it reads requests, checks them against the catalogue and starts their processes. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { startProcess } from '@toucanbend/channel';
+import { Outcome } from '@toucanbend/core';
+import { DecisionKind } from '@toucanbend/observability';
+import { type Catalogue, findAccount, findRoute, type Route, type Service } from '@toucanbend/registry';
+import { type CallerAnswer, createCallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
+import { type CallerRequest } from './caller-request.js';
+import { type ForwardingContext } from './context.js';
+import { type CallerHead } from './dialect.js';
+import { createForwardInbox, ForwardMessageType, forwardRequest } from './forward.js';
+import { endToEndHeaders } from './headers.js';
+
+/** The port for callers. */
+export interface CallerPort {
+  listen(host: string, port: number): Promise<void>;
+  /** Requests that are read or in flight. */
+  inFlight(): number;
+  /** Takes over limits of the catalogue in force. */
+  applyLimits(catalogue: Catalogue): void;
+  /** Closes connections on which nothing is in flight. */
+  closeIdle(): void;
+  close(): void;
+}
+
+/** How often Node looks for connections whose head takes too long, in milliseconds. */
+const HEAD_CHECK_INTERVAL_MS = 500;
+/** Bytes of a request's head that are accepted before the catalogue is known. */
+const MAX_HEAD_BYTES = 65_536;
+/** When a caller may try again at an entry without configuration: about the time in which one is read. */
+const NO_CONFIGURATION_RETRY_MS = 500;
+
+/** What a request is entitled to, or why it is rejected. */
+type Admission =
+  | { readonly rejected: EndReason }
+  | {
+      readonly rejected: undefined;
+      readonly route: Route;
+      readonly service: Service;
+      readonly account: string | undefined;
+      readonly rank: number;
+    };
+
+function pickService(catalogue: Catalogue, route: Route, fraction: number): Service | undefined {
+  const totalWeight = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let rest = fraction * totalWeight;
+  for (const target of route.targets) {
+    rest -= target.weight;
+    if (rest < 0) {
+      return catalogue.services.find((service) => service.name === target.service);
+    }
+  }
+  return undefined;
+}
+
+/**
+ * Checks a request against the catalogue.
+ *
+ * @param catalogue - the catalogue in force; undefined where none is known yet
+ * @param host - host that the caller named
+ * @param path - path without a query
+ * @param head - what the caller says
+ * @param fraction - a random number from 0 to 1 that picks among the route's services
+ * @returns what the request is entitled to
+ */
+export function admitRequest(
+  catalogue: Catalogue | undefined,
+  host: string,
+  path: string,
+  head: CallerHead,
+  fraction: number,
+): Admission {
+  if (catalogue === undefined) {
+    return { rejected: EndReason.NoConfiguration };
+  }
+  const route = findRoute(catalogue, host.toLowerCase(), path);
+  if (route === undefined) {
+    return { rejected: EndReason.NoRoute };
+  }
+  const account = head.key === undefined ? undefined : findAccount(catalogue, head.key);
+  const needsKey = catalogue.accounts.length > 0 && !route.isPublic;
+  if (needsKey && account === undefined) {
+    return { rejected: EndReason.BadKey };
+  }
+  if (head.requestId === '') {
+    return { rejected: EndReason.BadRequest };
+  }
+  const service = pickService(catalogue, route, fraction);
+  if (service === undefined) {
+    return { rejected: EndReason.NoServer };
+  }
+  return {
+    rejected: undefined,
+    route,
+    service,
+    account: account?.name,
+    rank: account?.rank ?? route.rank,
+  };
+}
+
+/** Reads a body; undefined where it is longer than the limit or breaks off. */
+function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer | EndReason> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length > limitBytes) {
+        resolve(EndReason.BodyTooLong);
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.on('end', () => {
+      resolve(Buffer.concat(chunks));
+    });
+    request.on('close', () => {
+      resolve(EndReason.CallerGone);
+    });
+  });
+}
+
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Reads requests and starts their processes. */
+class RequestReader {
+  readonly #context: ForwardingContext;
+  inFlight = 0;
+
+  constructor(context: ForwardingContext) {
+    this.#context = context;
+  }
+
+  async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const receivedAtMs = this.#context.clock.now();
+    const answer = createCallerAnswer(response, this.#context.isLeaving);
+    const head = this.#context.dialect.readCaller(message.headers);
+    this.inFlight += 1;
+    response.once('close', () => {
+      this.inFlight -= 1;
+    });
+    response.on('error', () => undefined);
+    message.on('error', () => undefined);
+    const limits = this.#context.registry().catalogue?.limits;
+    const body = await readBody(message, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+    if (typeof body === 'string') {
+      this.#reject(head, answer, body);
+      response.once('finish', () => message.destroy());
+      return;
+    }
+    const path = message.url ?? '/';
+    const admission = admitRequest(
+      this.#context.registry().catalogue,
+      message.headers.host ?? '',
+      path.split('?')[0] ?? '/',
+      head,
+      this.#context.random.fraction(),
+    );
+    if (admission.rejected !== undefined) {
+      this.#reject(head, answer, admission.rejected);
+      return;
+    }
+    const { route } = admission;
+    const patienceMs = Math.min(route.timeoutMs, head.patienceMs ?? route.timeoutMs);
+    this.#start(response, answer, {
+      ...admission,
+      head,
+      method: message.method ?? 'GET',
+      path,
+      headers: endToEndHeaders(message.rawHeaders, message.headers),
+      body,
+      receivedAtMs,
+      deadlineAtMs: receivedAtMs + patienceMs,
+    });
+  }
+
+  #start(response: ServerResponse, answer: CallerAnswer, request: CallerRequest): void {
+    const inbox = createForwardInbox();
+    if (response.destroyed) {
+      this.#record(request.head, request.rank, {
+        outcome: Outcome.NotRun,
+        reason: EndReason.CallerGone,
+        retryAfterMs: 0,
+      });
+      return;
+    }
+    response.once('close', () => {
+      if (!response.writableFinished) {
+        inbox.send({ type: ForwardMessageType.CallerGone });
+      }
+    });
+    const serve = forwardRequest.bind(undefined, this.#context, request, answer, inbox);
+    const record = (end: RequestEnd): void => {
+      this.#record(request.head, request.rank, end);
+    };
+    startProcess(function* () {
+      record(yield* serve());
+    });
+  }
+
+  #reject(head: CallerHead, answer: CallerAnswer, reason: EndReason): void {
+    const retryAfterMs = reason === EndReason.NoConfiguration ? NO_CONFIGURATION_RETRY_MS : 0;
+    const end = { outcome: Outcome.NotRun, reason, retryAfterMs };
+    answer.fail(end);
+    this.#record(head, -1, end);
+  }
+
+  #record(head: CallerHead, rank: number, end: RequestEnd): void {
+    this.#context.metrics.countEnd(rank, end.outcome, end.reason);
+    this.#context.logger.decision({
+      decision: DecisionKind.Answer,
+      request: head.requestId,
+      fields: { ...end, catalogue: this.#context.registry().catalogue?.version ?? 0 },
+    });
+  }
+}
+
+function listen(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      resolve();
+    });
+  });
+}
+
+/**
+ * Creates the port for callers.
+ *
+ * @param context - what requests share
+ * @returns the port, which does not listen yet
+ */
+export function createCallerPort(context: ForwardingContext): CallerPort {
+  const reader = new RequestReader(context);
+  const server = createServer(
+    {
+      maxHeaderSize: MAX_HEAD_BYTES,
+      connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
+      keepAlive: true,
+      noDelay: true,
+    },
+    (message, response) => {
+      void reader.handle(message, response);
+    },
+  );
+  return {
+    listen: (host, port) => listen(server, host, port),
+    inFlight: () => reader.inFlight,
+    applyLimits: ({ limits }) => {
+      server.headersTimeout = limits.headerTimeoutMs;
+      server.keepAliveTimeout = limits.idleTimeoutMs;
+    },
+    closeIdle: () => {
+      server.closeIdleConnections();
+    },
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/context.ts
@@ -0,0 +1,24 @@
+/** What the processes of requests share. */
+import { type Clock, type Random } from '@toucanbend/core';
+import { type Logger } from '@toucanbend/observability';
+import { type LoadBook, type PlannerSettings, type RetryWindow } from '@toucanbend/placement';
+import { type Registry } from '@toucanbend/registry';
+import { type Dialect } from './dialect.js';
+import { type ForwardingMetrics } from './metrics.js';
+
+/** What the processes of requests share. */
+export interface ForwardingContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: ForwardingMetrics;
+  readonly dialect: Dialect;
+  readonly planner: PlannerSettings;
+  readonly book: LoadBook;
+  readonly retries: RetryWindow;
+  /** The registry as it is now. */
+  readonly registry: () => Registry;
+  /** How many entries share the budget for repeats. */
+  readonly entryCount: () => number;
+  readonly isLeaving: () => boolean;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,177 @@
+/** The entry that sends to backend servers directly. */
+import { type Clock, createRandom } from '@toucanbend/core';
+import {
+  createCallerPort,
+  createForwardingMetrics,
+  type Dialect,
+  type ForwardingContext,
+} from '@toucanbend/forwarding';
+import {
+  createFollower,
+  createRegistrar,
+  createRegistryHolder,
+  type FollowPace,
+} from '@toucanbend/membership';
+import { type Logger } from '@toucanbend/observability';
+import { createLoadBook, createRetryWindow, type RetryBound } from '@toucanbend/placement';
+import {
+  type BackendServer,
+  type EntryMember,
+  listEntries,
+  listServers,
+  RecordKind,
+  type Registry,
+  type RegistrySource,
+  ServerState,
+} from '@toucanbend/registry';
+import { Registry as MetricsRegistry } from 'prom-client';
+import { openReadyPort } from './ready-port.js';
+
+/** An address of this process. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What a gateway needs from its surroundings. */
+export interface GatewayOptions {
+  readonly member: EntryMember;
+  readonly seed: number;
+  readonly callers: ListenAddress;
+  readonly ready: ListenAddress;
+  readonly readyPath: string;
+  readonly retryBound: RetryBound;
+  /** Time from the signal to stop until the process is ended from outside, in milliseconds. */
+  readonly graceMs: number;
+  readonly dialect: Dialect;
+  readonly source: RegistrySource;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** A running gateway. */
+export interface Gateway {
+  /** Takes no more connections, finishes what is in flight, and resolves when the process may end. */
+  leave(): Promise<void>;
+}
+
+/** Paces of following the store: servers change most, and requests must leave a leaving server in time. */
+const paces: Readonly<Record<RecordKind, FollowPace>> = {
+  [RecordKind.Catalogue]: { waitMs: 1_200, intervalMs: 200 },
+  [RecordKind.Server]: { waitMs: 1_000, intervalMs: 500 },
+  [RecordKind.Entry]: { waitMs: 5_000, intervalMs: 1_000 },
+};
+/** Time to a server in another data centre and back; replaced by measured times once there are some. */
+const CROSS_ROUND_TRIP_MS = 8;
+const PRUNE_INTERVAL_MS = 1_000;
+/** Time in which the balancer notices that an entry takes no more connections. */
+const NOTICE_MS = 3_000;
+/** Time before the end of the grace in which what is still in flight is given up. */
+const GRACE_MARGIN_MS = 700;
+const LEAVE_CHECK_MS = 50;
+
+function describeServer(server: BackendServer): Record<string, string | number> {
+  const { id, service, host, port, dataCentre, state } = server;
+  return { id, service, address: `${host}:${String(port)}`, dataCentre, state };
+}
+
+function logChanges(logger: Logger, after: Registry, before: Registry): void {
+  if (after.catalogue !== before.catalogue && after.catalogue !== undefined) {
+    logger.info('catalogue in force', {
+      version: after.catalogue.version,
+      before: before.catalogue?.version ?? 0,
+      revision: after.revisions[RecordKind.Catalogue],
+    });
+  }
+  for (const [key, record] of after.records) {
+    const known = before.records.get(key);
+    if (record.kind !== RecordKind.Server || record === known) {
+      continue;
+    }
+    const stateBefore = known?.kind === RecordKind.Server ? known.value?.state : undefined;
+    if (record.value?.state !== stateBefore) {
+      logger.info('server changed', {
+        ...(record.value === undefined ? { id: record.id, state: 'gone' } : describeServer(record.value)),
+        before: stateBefore ?? 'unknown',
+        revision: record.revision,
+      });
+    }
+  }
+}
+
+function hasServers(registry: Registry): boolean {
+  return listServers(registry).some((server) => server.state === ServerState.Ready);
+}
+
+/**
+ * Starts a gateway.
+ *
+ * @param options - addresses, store and dialect
+ * @returns the gateway, once it listens
+ */
+export async function startGateway(options: GatewayOptions): Promise<Gateway> {
+  const { clock, logger, member, source } = options;
+  const holder = createRegistryHolder();
+  const book = createLoadBook();
+  const random = createRandom(options.seed);
+  let isLeaving = false;
+  const context: ForwardingContext = {
+    clock,
+    random,
+    logger,
+    metrics: createForwardingMetrics(new MetricsRegistry()),
+    dialect: options.dialect,
+    planner: { dataCentre: member.dataCentre, crossRoundTripMs: CROSS_ROUND_TRIP_MS },
+    book,
+    retries: createRetryWindow(options.retryBound),
+    registry: holder.current,
+    entryCount: () => Math.max(1, listEntries(holder.current()).length),
+    isLeaving: () => isLeaving,
+  };
+  const port = createCallerPort(context);
+  holder.onChange((after, before) => {
+    logChanges(logger, after, before);
+    if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
+      port.applyLimits(after.catalogue);
+    }
+  });
+  const isReady = (): boolean => {
+    const registry = holder.current();
+    return !isLeaving && registry.catalogue !== undefined && hasServers(registry);
+  };
+  await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
+  await port.listen(options.callers.host, options.callers.port);
+  const follower = createFollower({ source, holder, clock, random, logger, paces });
+  const registrar = createRegistrar(member, source, clock, logger);
+  follower.start();
+  registrar.start();
+  const prune = (): void => {
+    book.prune(new Set(listServers(holder.current()).map((server) => server.id)), clock.now());
+    clock.after(PRUNE_INTERVAL_MS, prune);
+  };
+  prune();
+  logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
+
+  return {
+    leave: () =>
+      new Promise((resolve) => {
+        isLeaving = true;
+        const startedAtMs = clock.now();
+        logger.info('leaving', { inFlight: port.inFlight() });
+        registrar.stop();
+        const check = (): void => {
+          const elapsedMs = clock.now() - startedAtMs;
+          const isDone = elapsedMs >= NOTICE_MS && port.inFlight() === 0;
+          if (isDone || elapsedMs >= options.graceMs - GRACE_MARGIN_MS) {
+            logger.info('stopped', { inFlight: port.inFlight(), elapsedMs: Math.round(elapsedMs) });
+            follower.stop();
+            port.closeIdle();
+            clock.after(LEAVE_CHECK_MS, resolve);
+            return;
+          }
+          clock.after(LEAVE_CHECK_MS, check);
+        };
+        check();
+      }),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,2 @@
+/** The entry that sends to backend servers directly. */
+export * from './gateway.js';
--- /dev/null
+++ b/packages/membership/src/follower.ts
@@ -0,0 +1,167 @@
+/** Follows the store: reads what is registered and keeps the registry up to date, also after outages. */
+import { type Clock, type Random } from '@toucanbend/core';
+import { type Logger } from '@toucanbend/observability';
+import { RecordKind, type RegistryRecord, type RegistrySource, SourceErrorKind } from '@toucanbend/registry';
+import { createLapseGuard } from './lapse-guard.js';
+import { type RegistryHolder } from './registry-holder.js';
+
+/** Pace of following one kind of record. */
+export interface FollowPace {
+  /** How long a watch waits for changes, in milliseconds. */
+  readonly waitMs: number;
+  /** Least time between two calls, in milliseconds: calls to the store are limited for all nodes together. */
+  readonly intervalMs: number;
+}
+
+/** Follows the store. */
+export interface Follower {
+  start(): void;
+  stop(): void;
+  /** When the store last answered about a kind of record; undefined before the first answer. */
+  lastAnswerAtMs(kind: RecordKind): number | undefined;
+}
+
+/** What following needs. */
+export interface FollowerOptions {
+  readonly source: RegistrySource;
+  readonly holder: RegistryHolder;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly paces: Readonly<Record<RecordKind, FollowPace>>;
+}
+
+/** Pause after a failed call; doubled for each further one up to the longest. */
+const FIRST_BACKOFF_MS = 100;
+const LONGEST_BACKOFF_MS = 800;
+
+/** Follows one kind of record. */
+class KindFollower {
+  readonly #options: FollowerOptions;
+  readonly #kind: RecordKind;
+  readonly #guard = createLapseGuard();
+  #revision: number | undefined;
+  #failures = 0;
+  #isStopped = false;
+  #cancelTimer = (): void => undefined;
+  lastAnswerAtMs: number | undefined;
+
+  constructor(options: FollowerOptions, kind: RecordKind) {
+    this.#options = options;
+    this.#kind = kind;
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#cancelTimer();
+  }
+
+  async step(): Promise<void> {
+    const startedAtMs = this.#options.clock.now();
+    const isWell = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision);
+    if (this.#isStopped) {
+      return;
+    }
+    const { intervalMs } = this.#options.paces[this.#kind];
+    const elapsedMs = this.#options.clock.now() - startedAtMs;
+    const pauseMs = isWell ? Math.max(0, intervalMs - elapsedMs) : this.#backoffMs();
+    this.#cancelTimer = this.#options.clock.after(pauseMs, () => {
+      void this.step();
+    });
+  }
+
+  async #list(): Promise<boolean> {
+    const { source, holder, clock, logger } = this.#options;
+    const listed = await source.list(this.#kind);
+    if (listed.isErr()) {
+      return this.#note(listed.error.message, false);
+    }
+    this.#note('', true);
+    this.#revision = listed.value.revision;
+    const held = this.#guard.holdMissing(holder.current(), this.#kind, listed.value.records, clock.now());
+    holder.list(this.#kind, [...listed.value.records, ...held], listed.value.revision);
+    logger.info('registry listed', {
+      kind: this.#kind,
+      revision: listed.value.revision,
+      records: listed.value.records.length,
+      held: held.length,
+    });
+    return true;
+  }
+
+  async #watch(revision: number): Promise<boolean> {
+    const { source, holder, clock, paces } = this.#options;
+    const changes = await source.watch(this.#kind, revision, paces[this.#kind].waitMs);
+    if (changes.isErr()) {
+      if (changes.error.kind === SourceErrorKind.HistoryLost) {
+        this.#revision = undefined;
+        return true;
+      }
+      return this.#note(changes.error.message, false);
+    }
+    this.#note('', true);
+    this.#revision = Math.max(revision, changes.value.revision);
+    const present = this.#guard.hold(changes.value.records, clock.now());
+    holder.merge(present, { [this.#kind]: this.#revision });
+    this.#releaseHeld();
+    return true;
+  }
+
+  /** Removes what is still missing some time after an outage. */
+  #releaseHeld(): void {
+    const { holder, clock } = this.#options;
+    const released: RegistryRecord[] = this.#guard.release(clock.now());
+    if (released.length > 0) {
+      holder.merge(released, {});
+    }
+  }
+
+  #note(error: string, isWell: boolean): boolean {
+    const { clock, logger } = this.#options;
+    const nowMs = clock.now();
+    if (isWell) {
+      const silentMs = this.lastAnswerAtMs === undefined ? 0 : nowMs - this.lastAnswerAtMs;
+      if (this.#failures > 0) {
+        logger.info('store regained', { kind: this.#kind, silentMs: Math.round(silentMs) });
+        this.#guard.noteOutage(silentMs, nowMs);
+      }
+      this.#failures = 0;
+      this.lastAnswerAtMs = nowMs;
+    } else {
+      if (this.#failures === 0) {
+        logger.warn('store lost', { kind: this.#kind, error });
+      }
+      this.#failures += 1;
+    }
+    return isWell;
+  }
+
+  #backoffMs(): number {
+    const longest = Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** this.#failures);
+    return longest * (0.5 + this.#options.random.fraction() / 2);
+  }
+}
+
+/**
+ * Creates the follower of a store.
+ *
+ * @param options - the store, the registry and the pace
+ * @returns the follower, which does not run yet
+ */
+export function createFollower(options: FollowerOptions): Follower {
+  const kinds = [RecordKind.Catalogue, RecordKind.Server, RecordKind.Entry];
+  const followers = new Map(kinds.map((kind) => [kind, new KindFollower(options, kind)]));
+  return {
+    start: () => {
+      followers.forEach((follower) => {
+        void follower.step();
+      });
+    },
+    stop: () => {
+      followers.forEach((follower) => {
+        follower.stop();
+      });
+    },
+    lastAnswerAtMs: (kind) => followers.get(kind)?.lastAnswerAtMs,
+  };
+}
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -2,3 +2,4 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './operator-port.js';
+export * from './output.js';
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -1,5 +1,6 @@
 /** Structured logs: one JSON object a line, or readable lines on a terminal. */
 import { createConsola, type LogObject } from 'consola';
+import { type LineOutput } from './output.js';
 
 /** What a decision line is about. */
 export enum DecisionKind {
@@ -50,12 +51,20 @@
   readonly node: string;
   readonly level: LogLevel;
   readonly keptDecisions: number;
+  /** Where lines go; standard error where it is left out. */
+  readonly output?: LineOutput | undefined;
 }
 
-function writeJson(node: string, line: LogObject): void {
+const standardError: LineOutput = {
+  write: (line) => {
+    process.stderr.write(`${line}\n`);
+  },
+};
+
+function writeJson(node: string, output: LineOutput, line: LogObject): void {
   const [message, fields] = line.args as [string, object | undefined];
   const text = JSON.stringify({ at: line.date.toISOString(), level: line.type, node, message, ...fields });
-  process.stderr.write(`${text}\n`);
+  output.write(text);
 }
 
 /**
@@ -66,18 +75,19 @@
  */
 export function createLogger(options: LoggerOptions): Logger {
   const base = { level: levels[options.level] };
-  const consola = process.stderr.isTTY
-    ? createConsola(base)
-    : createConsola({
-        ...base,
-        reporters: [
-          {
-            log: (line) => {
-              writeJson(options.node, line);
+  const consola =
+    process.stderr.isTTY && options.output === undefined
+      ? createConsola(base)
+      : createConsola({
+          ...base,
+          reporters: [
+            {
+              log: (line) => {
+                writeJson(options.node, options.output ?? standardError, line);
+              },
             },
-          },
-        ],
-      });
+          ],
+        });
   const kept: DecisionLine[] = [];
   let next = 0;
   return {
--- /dev/null
+++ b/packages/placement/src/engine-choice.ts
@@ -0,0 +1,195 @@
+/**
+ * The choice of an engine for a prompt, by the effect on its first token and on the pauses of all that run there.
+ *
+ * Answers the load pattern of long prompts arriving beside many short ones: a long prefill lengthens the passes of
+ * its engine, so that every stream there pauses for longer than its callers accept.
+ */
+import {
+  addRequest,
+  advanceEngine,
+  type EngineParameters,
+  type EngineState,
+  runPass,
+} from '@toucanbend/engine-model';
+import { type Job, valueOf } from './job.js';
+
+/** A job at an engine, and what is known of its answer so far. */
+export interface PlacedJob {
+  readonly job: Job;
+  /** Whether its answer is late already; further delay costs nothing more. */
+  readonly isLate: boolean;
+  readonly hasStarted: boolean;
+}
+
+/** An engine that may take a prompt. */
+export interface EngineCandidate {
+  readonly server: string;
+  /** Parameters at the speed that the engine is known to have. */
+  readonly engine: EngineParameters;
+  readonly state: EngineState;
+  readonly jobs: ReadonlyMap<string, PlacedJob>;
+  /** Time for bytes to the server and back, in milliseconds. */
+  readonly roundTripMs: number;
+}
+
+/** What is expected of a placement. */
+export interface EnginePrediction {
+  readonly server: string;
+  /** Expected time from now to the first event, in milliseconds. */
+  readonly firstEventMs: number;
+  /** Longest pass while the prompt is prefilled, in milliseconds. */
+  readonly longestPassMs: number;
+  /** Value that is expected to be lost, of this job and of those that run there. */
+  readonly cost: number;
+}
+
+/** Passes that a prediction looks ahead at most; enough for the longest prompt that fits into memory. */
+const MAX_PASSES = 400;
+/** Passes after the first token in which further prefills may still delay the new stream. */
+const PASSES_AFTER_START = 3;
+/** Share of a limit at which lateness becomes possible: predictions are off by about a fifth. */
+const RISK_STARTS_AT = 0.75;
+/** Share of a limit at which lateness is certain. */
+const RISK_ENDS_AT = 1.15;
+/** Share of its value that a job loses when it comes late. */
+const LATE_LOSS = 0.8;
+/** Cost of starting a short prompt on an idle engine, which the next long prompt would need, as a share of value. */
+const IDLE_ENGINE_COST = 0.04;
+/** Prompts whose prefill takes less than this share of their pause limit count as short. */
+const SHORT_PREFILL_SHARE = 0.5;
+/** Weight of how full a pass is, which spreads equal work over equal engines. */
+const FILL_COST = 0.02;
+/** Cost of bytes between data centres, as a share of value. */
+const DISTANCE_COST_PER_MS = 0.0005;
+
+function riskOf(elapsedMs: number, limitMs: number): number {
+  const share = elapsedMs / Math.max(1, limitMs);
+  return Math.min(1, Math.max(0, (share - RISK_STARTS_AT) / (RISK_ENDS_AT - RISK_STARTS_AT)));
+}
+
+interface Outlook {
+  /** Value lost by each job, by its name. */
+  readonly losses: ReadonlyMap<string, number>;
+  readonly firstEventAtMs: number;
+  readonly longestPassMs: number;
+  readonly passes: number;
+}
+
+/** Runs an engine ahead and adds up what its jobs lose. */
+function lookAhead(
+  candidate: EngineCandidate,
+  start: EngineState,
+  jobs: ReadonlyMap<string, PlacedJob>,
+  watched: string | undefined,
+  passLimit: number,
+): Outlook {
+  const { engine } = candidate;
+  const losses = new Map<string, number>();
+  const started = new Set<string>();
+  let state = start;
+  let atMs = start.passStartsAtMs;
+  let firstEventAtMs = Number.POSITIVE_INFINITY;
+  let longestPassMs = 0;
+  let passes = 0;
+  let passesLeft = passLimit;
+  const lose = (id: string, risk: number): void => {
+    const placed = jobs.get(id);
+    if (placed !== undefined && !placed.isLate && risk > 0) {
+      losses.set(id, Math.max(losses.get(id) ?? 0, risk * LATE_LOSS * valueOf(placed.job)));
+    }
+  };
+  while (passesLeft > 0 && state.requests.length > 0) {
+    const before = state;
+    const pass = runPass(engine, state);
+    const { durationMs } = pass;
+    state = pass.state;
+    atMs += durationMs;
+    passes += 1;
+    passesLeft -= 1;
+    longestPassMs = Math.max(longestPassMs, durationMs);
+    for (const request of before.requests) {
+      if (request.prefilledTokens >= request.promptTokens) {
+        lose(request.id, riskOf(durationMs, jobs.get(request.id)?.job.targetPauseMs ?? Infinity));
+      }
+    }
+    for (const id of pass.started) {
+      started.add(id);
+      const job = jobs.get(id)?.job;
+      if (job !== undefined) {
+        lose(id, riskOf(atMs + candidate.roundTripMs - job.arrivedAtMs, job.targetMs));
+      }
+    }
+    if (watched !== undefined && pass.started.includes(watched)) {
+      firstEventAtMs = atMs;
+      passesLeft = Math.min(passesLeft, PASSES_AFTER_START);
+    }
+  }
+  return { losses, firstEventAtMs, longestPassMs, passes };
+}
+
+function total(losses: ReadonlyMap<string, number>): number {
+  let sum = 0;
+  for (const loss of losses.values()) {
+    sum += loss;
+  }
+  return sum;
+}
+
+/**
+ * Predicts what a placement brings.
+ *
+ * @param candidate - the engine
+ * @param job - the job, with its lengths
+ * @param nowMs - now
+ * @returns the prediction; undefined for a job without lengths
+ */
+export function predictPlacement(
+  candidate: EngineCandidate,
+  job: Job,
+  nowMs: number,
+): EnginePrediction | undefined {
+  if (job.generation === undefined) {
+    return undefined;
+  }
+  const state = advanceEngine(candidate.engine, candidate.state, nowMs);
+  const jobs = new Map(candidate.jobs).set(job.id, { job, isLate: false, hasStarted: false });
+  const added = addRequest(state, job.id, job.generation);
+  const withJob = lookAhead(candidate, added, jobs, job.id, MAX_PASSES);
+  const without = lookAhead(candidate, state, candidate.jobs, undefined, withJob.passes);
+  const value = valueOf(job);
+  const fill = Math.min(1, withJob.longestPassMs / Math.max(1, job.targetPauseMs));
+  const isShort = withJob.longestPassMs < SHORT_PREFILL_SHARE * job.targetPauseMs;
+  const preference =
+    (state.requests.length === 0 && isShort ? IDLE_ENGINE_COST : 0) +
+    FILL_COST * fill * fill +
+    DISTANCE_COST_PER_MS * candidate.roundTripMs;
+  return {
+    server: candidate.server,
+    firstEventMs: withJob.firstEventAtMs + candidate.roundTripMs - nowMs,
+    longestPassMs: withJob.longestPassMs,
+    cost: total(withJob.losses) - total(without.losses) + preference * value,
+  };
+}
+
+/**
+ * Chooses the engine whose jobs, with the new one, lose least.
+ *
+ * @param candidates - engines that may take the prompt
+ * @param job - the job
+ * @param nowMs - now
+ * @returns the best prediction, or undefined where there is no engine
+ */
+export function chooseEngine(
+  candidates: readonly EngineCandidate[],
+  job: Job,
+  nowMs: number,
+): EnginePrediction | undefined {
+  let best: EnginePrediction | undefined;
+  for (const candidate of candidates) {
+    const prediction = predictPlacement(candidate, job, nowMs);
+    if (prediction !== undefined && (best === undefined || prediction.cost < best.cost)) {
+      best = prediction;
+    }
+  }
+  return best;
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -12,7 +12,7 @@
     .filter((path) => !path.includes('node_modules'));
 }
 
-const files = ['packages', 'test']
+const files = ['packages', 'platform', 'test']
   .flatMap(testFiles)
   .filter((path) => filters.length === 0 || filters.some((filter) => path.includes(filter)))
   .sort();
