Entries tell one another what they placed; work with time in hand waits for a better place

Change: links between entries carry placements, ends and failures; a request stays in the shadow of an engine until its end is seen; forecasts take answers as a third longer; entries prefer different engines; a prompt whose best place costs a quarter of its value waits in steps of 40 ms while its target leaves time. Ruled out: errors of the pass model (a lone prompt of 109,019 tokens: 1,404 ms predicted, 1,409 seen).

--- a/packages/engine-model/src/engine-state.ts
+++ b/packages/engine-model/src/engine-state.ts
@@ -37,6 +37,14 @@
   return isGenerating(request) && request.generatedTokens >= request.answerTokens;
 }
 
+/** What becomes of requests whose expected answer is complete. */
+export enum ExpectedEnd {
+  /** They leave the engine, as in a forecast. */
+  Leaves = 'leaves',
+  /** They stay until their end is seen, since answers are often longer than expected. */
+  Stays = 'stays',
+}
+
 /** Marks which requests hold a slot and memory: the first ones that fit. */
 function countAdmitted(engine: EngineParameters, requests: readonly EngineRequest[]): number {
   let memoryTokens = 0;
@@ -56,9 +64,10 @@
  *
  * @param engine - parameters of the engine
  * @param state - state before the pass
+ * @param expectedEnd - what becomes of requests whose expected answer is complete
  * @returns what the pass brought
  */
-export function runPass(engine: EngineParameters, state: EngineState): PassResult {
+export function runPass(engine: EngineParameters, state: EngineState, expectedEnd: ExpectedEnd): PassResult {
   const admitted = countAdmitted(engine, state.requests);
   let stepMs = engine.stepMs;
   let generates = false;
@@ -98,7 +107,8 @@
     state: {
       passStartsAtMs: state.passStartsAtMs + durationMs,
       lastPassMs: durationMs,
-      requests: requests.filter((request) => !isFinished(request)),
+      requests:
+        expectedEnd === ExpectedEnd.Stays ? requests : requests.filter((request) => !isFinished(request)),
     },
   };
 }
@@ -114,7 +124,7 @@
 export function advanceEngine(engine: EngineParameters, state: EngineState, nowMs: number): EngineState {
   let current = state;
   while (current.requests.length > 0 && current.passStartsAtMs <= nowMs) {
-    current = runPass(engine, current).state;
+    current = runPass(engine, current, ExpectedEnd.Stays).state;
   }
   return current.requests.length > 0
     ? current
@@ -147,25 +157,45 @@
 }
 
 /**
- * Corrects a request by what was seen of its answer.
+ * Corrects a state by an event of an answer: the event came at the end of a pass.
  *
- * @param state - state of the engine
+ * @param state - state at the time of the event
  * @param id - name of the request
  * @param generatedTokens - tokens of the answer that were seen
- * @returns the state in which its prompt is prefilled and at least so many tokens are generated
+ * @param passEndedAtMs - when the pass ended that brought the event
+ * @returns the state in which the request has so many tokens and a pass ended at that time
  */
-export function observeTokens(state: EngineState, id: string, generatedTokens: number): EngineState {
-  return {
-    ...state,
-    requests: state.requests.map((request) =>
-      request.id === id
-        ? {
-            ...request,
-            prefilledTokens: request.promptTokens,
-            generatedTokens,
-            answerTokens: Math.max(request.answerTokens, generatedTokens + 1),
-          }
-        : request,
-    ),
-  };
+export function observeTokens(
+  state: EngineState,
+  id: string,
+  generatedTokens: number,
+  passEndedAtMs: number,
+): EngineState {
+  const requests = state.requests.map((request) =>
+    request.id === id ? { ...request, prefilledTokens: request.promptTokens, generatedTokens } : request,
+  );
+  const isEndOfRunningPass = state.passStartsAtMs - passEndedAtMs < state.lastPassMs / 2;
+  const passStartsAtMs = isEndOfRunningPass ? passEndedAtMs : passEndedAtMs + state.lastPassMs;
+  return { ...state, requests, passStartsAtMs };
+}
+
+/**
+ * Share by which answers are expected to be longer than estimated. Estimates are right at the median; a forecast that
+ * relies on the end of an answer needs more than even odds.
+ */
+const LONGER_SHARE = 0.3;
+
+/**
+ * Makes a state ready for a forecast, with answers somewhat longer than estimated.
+ *
+ * @param engine - parameters of the engine
+ * @param state - the state
+ * @returns the state in which every answer still has tokens to come
+ */
+export function expectMore(engine: EngineParameters, state: EngineState): EngineState {
+  const requests = state.requests.map((request) => {
+    const base = Math.max(request.answerTokens, request.generatedTokens);
+    return { ...request, answerTokens: base * (1 + LONGER_SHARE) + engine.stepsPerPass };
+  });
+  return { ...state, requests };
 }
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -8,7 +8,8 @@
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type CallerHead } from './dialect.js';
-import { createForwardInbox, ForwardMessageType, forwardRequest } from './forward.js';
+import { createForwardInbox, ForwardMessageType, forwardRequest, type ForwardResult } from './forward.js';
+import { describeAnswer } from './description.js';
 import { endToEndHeaders } from './headers.js';
 
 /** The port for callers. */
@@ -18,8 +19,8 @@
   inFlight(): number;
   /** Takes over limits of the catalogue in force. */
   applyLimits(catalogue: Catalogue): void;
-  /** Closes connections on which nothing is in flight. */
-  closeIdle(): void;
+  /** Accepts no more connections, and closes those on which nothing is in flight. */
+  stopListening(): void;
   close(): void;
 }
 
@@ -190,8 +191,8 @@
       }
     });
     const serve = forwardRequest.bind(undefined, this.#context, request, answer, inbox);
-    const record = (end: RequestEnd): void => {
-      this.#record(request.head, request.rank, end);
+    const record = (result: ForwardResult): void => {
+      this.#record(request.head, request.rank, result.end, describeAnswer(request, result.timing));
     };
     startProcess(function* () {
       record(yield* serve());
@@ -205,12 +206,17 @@
     this.#record(head, -1, end);
   }
 
-  #record(head: CallerHead, rank: number, end: RequestEnd): void {
+  #record(
+    head: CallerHead,
+    rank: number,
+    end: RequestEnd,
+    details: Record<string, string | number> = {},
+  ): void {
     this.#context.metrics.countEnd(rank, end.outcome, end.reason);
     this.#context.logger.decision({
       decision: DecisionKind.Answer,
       request: head.requestId,
-      fields: { ...end, catalogue: this.#context.registry().catalogue?.version ?? 0 },
+      fields: { ...end, ...details, catalogue: this.#context.registry().catalogue?.version ?? 0 },
     });
   }
 }
@@ -250,7 +256,8 @@
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs;
     },
-    closeIdle: () => {
+    stopListening: () => {
+      server.close();
       server.closeIdleConnections();
     },
     close: () => {
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -1,7 +1,7 @@
 /** What the processes of requests share. */
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
-import { type LoadBook, type PlannerSettings, type RetryWindow } from '@toucanbend/placement';
+import { type LoadBook, type LoadNews, type PlannerSettings, type RetryWindow } from '@toucanbend/placement';
 import { type Registry } from '@toucanbend/registry';
 import { type Dialect } from './dialect.js';
 import { type ForwardingMetrics } from './metrics.js';
@@ -21,4 +21,6 @@
   /** How many entries share the budget for repeats. */
   readonly entryCount: () => number;
   readonly isLeaving: () => boolean;
+  /** Tells the other entries what was placed and what has ended. */
+  readonly tell: (news: LoadNews) => void;
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -5,23 +5,30 @@
 import {
   DecisionKind,
   type Job,
+  NewsKind,
   planJob,
   type PlacementDecision,
   RefusalReason,
 } from '@toucanbend/placement';
-import { AnswerForm, type BackendServer, RecordKind, RepeatPolicy } from '@toucanbend/registry';
 import {
-  type AnswerStart,
-  type Attempt,
-  type AttemptEvent,
-  AttemptEventType,
-  AttemptFailure,
-  startAttempt,
-} from './attempt.js';
+  AnswerForm,
+  type BackendServer,
+  RecordKind,
+  type Registry,
+  RepeatPolicy,
+} from '@toucanbend/registry';
+import { type Attempt, type AttemptEvent, AttemptFailure, startAttempt } from './attempt.js';
 import { type CallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
+import {
+  type AttemptResult,
+  type Follower,
+  type KeptAnswer,
+  StreamFollower,
+  WholeFollower,
+} from './follower.js';
+import { type AnswerTiming, describeDecision, unmeasured } from './description.js';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
-import { createEventSplitter, type StreamEvent } from './event-splitter.js';
 import { mayFollow, noAttempts, outcomeOf, recordAttempt } from './repeat.js';
 
 /** What a request's process hears of. */
@@ -54,20 +61,6 @@
   [RefusalReason.BeyondMemory]: EndReason.BeyondMemory,
 };
 
-/** A whole answer of a server that is kept in case that no better one comes. */
-interface KeptAnswer {
-  readonly start: AnswerStart;
-  readonly body: Buffer;
-}
-
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
-
-function isServerError(status: number): boolean {
-  return status >= 500;
-}
-
 /** The process of one request. */
 class Forward {
   readonly #context: ForwardingContext;
@@ -82,6 +75,9 @@
   #lastEventId: number | undefined;
   #kept: KeptAnswer | undefined;
   #expectedMs = 0;
+  #isWaiting = false;
+  #placedAtMs = 0;
+  #timing: AnswerTiming = unmeasured;
 
   constructor(
     context: ForwardingContext,
@@ -107,6 +103,13 @@
       if (decision.kind === DecisionKind.Refuse) {
         return this.#giveUp(refusalReasons[decision.reason], decision.retryAfterMs);
       }
+      if (decision.kind === DecisionKind.Wait) {
+        const isGone = yield* this.#wait(decision.waitMs);
+        if (isGone) {
+          return this.#end(outcomeOf(this.#history), EndReason.CallerGone, 0);
+        }
+        continue;
+      }
       this.#expectedMs = decision.expectedMs;
       const end = yield* this.#attempt(decision.server);
       if (end !== undefined) {
@@ -121,37 +124,55 @@
     }
   }
 
+  /** Waits some time; true where the caller has left meanwhile. */
+  *#wait(waitMs: number): ProcessBody<boolean> {
+    const { clock, random } = this.#context;
+    const untilMs = clock.now() + waitMs * (0.5 + random.fraction() / 2);
+    for (let leftMs = untilMs - clock.now(); leftMs > 0; leftMs = untilMs - clock.now()) {
+      const received = yield* receiveWithin(this.#inbox, clock, leftMs);
+      if (!received.timedOut && received.value.type === ForwardMessageType.CallerGone) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   #plan(): PlacementDecision {
     const { registry, book, planner, clock } = this.#context;
     const inputs = { registry: registry(), book, settings: planner };
     const decision = planJob(this.#job, this.#request.service, this.#tried, inputs, clock.now());
-    this.#log(LogDecision.Route, {
-      decided: decision.kind,
-      ...(decision.kind === DecisionKind.Send
-        ? {
-            server: decision.server.id,
-            expectedMs: Math.round(decision.expectedMs),
-            cost: Math.round(decision.cost * 100) / 100,
-            there: book.load(decision.server.id).jobs.size,
-          }
-        : { reason: decision.reason, retryAfterMs: Math.round(decision.retryAfterMs) }),
-      serversRevision: inputs.registry.revisions[RecordKind.Server],
-    });
+    this.#logPlan(decision, inputs.registry);
     return decision;
   }
 
+  /** Logs a decision; of the looks for a better place only the first is logged. */
+  #logPlan(decision: PlacementDecision, registry: Registry): void {
+    const isFurtherWait = decision.kind === DecisionKind.Wait && this.#isWaiting;
+    this.#isWaiting = decision.kind === DecisionKind.Wait;
+    if (!isFurtherWait) {
+      this.#log(LogDecision.Route, {
+        ...describeDecision(decision, this.#context.book),
+        waitedMs: Math.round(this.#context.clock.now() - this.#request.receivedAtMs),
+        serversRevision: registry.revisions[RecordKind.Server],
+      });
+    }
+  }
+
   /** Makes one attempt; undefined where another may follow. */
   *#attempt(server: BackendServer): ProcessBody<RequestEnd | undefined> {
-    const { book, clock } = this.#context;
+    const { book, clock, tell } = this.#context;
     const { engine } = this.#request.service;
     const sentAtMs = clock.now();
+    this.#placedAtMs = sentAtMs;
     this.#attemptNumber += 1;
     this.#tried.add(server.id);
-    book.placed(server.id, engine, this.#job, sentAtMs);
+    book.placed(this.#context.planner.entry, server.id, engine, this.#job, sentAtMs);
+    tell({ kind: NewsKind.Placed, server: server.id, job: this.#job, atMs: sentAtMs });
     const attempt = this.#start(server);
     const result = yield* this.#follow(server, attempt, sentAtMs);
     attempt.cancel();
     book.ended(server.id, this.#job.id);
+    tell({ kind: NewsKind.Ended, server: server.id, jobId: this.#job.id });
     if (result.failure === undefined) {
       book.succeeded(server.id);
       return result.end;
@@ -160,6 +181,7 @@
     this.#context.metrics.countFailure(result.failure);
     if (result.failure !== AttemptFailure.NotRun) {
       book.failed(server.id, clock.now());
+      tell({ kind: NewsKind.Failed, server: server.id });
     }
     this.#log(LogDecision.Retry, {
       server: server.id,
@@ -246,16 +268,33 @@
     }
   }
 
+  /** Times of the answer so far, for the log. */
+  get timing(): AnswerTiming {
+    return this.#timing;
+  }
+
   #observe(server: BackendServer, follower: Follower, atMs: number, pauseMs: number | undefined): void {
-    const { book, metrics } = this.#context;
+    const { book, metrics, planner } = this.#context;
     const { engine } = this.#request.service;
+    this.#timing = {
+      server: server.id,
+      attempts: this.#attemptNumber,
+      expectedMs:
+        this.#timing.events === 0
+          ? this.#placedAtMs - this.#request.receivedAtMs + this.#expectedMs
+          : this.#timing.expectedMs,
+      firstEventMs: this.#timing.events === 0 ? atMs - this.#request.receivedAtMs : this.#timing.firstEventMs,
+      longestPauseMs: Math.max(this.#timing.longestPauseMs, pauseMs ?? 0),
+      events: this.#timing.events + 1,
+    };
     if (pauseMs === undefined && this.#attemptNumber === 1) {
       const elapsedMs = atMs - this.#request.receivedAtMs;
       metrics.observeFirstEvent(this.#request.rank, elapsedMs);
       metrics.observePrediction(this.#request.rank, this.#expectedMs, elapsedMs);
     }
     const tokens = follower.eventsSeen * (engine?.stepsPerPass ?? 1);
-    book.observed(server.id, engine, { jobId: this.#job.id, tokens, pauseMs, atMs });
+    const wayMs = server.dataCentre === planner.dataCentre ? 0 : planner.crossRoundTripMs / 2;
+    book.observed(server.id, engine, { jobId: this.#job.id, tokens, pauseMs, atMs, wayMs });
   }
 
   /** How long a server may be silent before another one is tried; Infinity where none may be. */
@@ -299,178 +338,10 @@
   }
 }
 
-/** What became of an attempt. */
-type AttemptResult =
-  | { readonly failure: undefined; readonly end: RequestEnd }
-  | { readonly failure: AttemptFailure; readonly detail: string };
-
-const answered: AttemptResult = {
-  failure: undefined,
-  end: { outcome: Outcome.Complete, reason: EndReason.Answered, retryAfterMs: 0 },
-};
-
-/** Follows the answer of one attempt. */
-interface Follower {
-  readonly hasStarted: boolean;
-  readonly eventsSeen: number;
-  readonly lastEventId: number | undefined;
-  readonly kept: KeptAnswer | undefined;
-  /**
-   * Takes the next event of the attempt.
-   *
-   * @param event - the event
-   * @param mayRepeat - whether an error of the server may be followed by another attempt
-   * @returns what became of the attempt, once that is known
-   */
-  take(event: AttemptEvent, mayRepeat: boolean): AttemptResult | undefined;
-}
-
-/** Collects an answer and passes it on once it is whole. */
-class WholeFollower implements Follower {
-  readonly #context: ForwardingContext;
-  readonly #answer: CallerAnswer;
-  readonly #server: BackendServer;
-  readonly #sentAtMs: number;
-  readonly #chunks: Buffer[] = [];
-  #start: AnswerStart | undefined;
-  kept: KeptAnswer | undefined;
-  readonly eventsSeen = 0;
-  readonly lastEventId = undefined;
-
-  constructor(context: ForwardingContext, answer: CallerAnswer, server: BackendServer, sentAtMs: number) {
-    this.#context = context;
-    this.#answer = answer;
-    this.#server = server;
-    this.#sentAtMs = sentAtMs;
-  }
-
-  get hasStarted(): boolean {
-    return this.#start !== undefined;
-  }
-
-  take(event: AttemptEvent, mayRepeat: boolean): AttemptResult | undefined {
-    switch (event.type) {
-      case AttemptEventType.Started:
-        this.#start = event.start;
-        return undefined;
-      case AttemptEventType.Body:
-        this.#chunks.push(event.chunk);
-        return undefined;
-      case AttemptEventType.Failed:
-        return { failure: event.failure, detail: event.detail };
-      case AttemptEventType.Ended:
-        return this.#finish(mayRepeat);
-    }
-  }
-
-  #finish(mayRepeat: boolean): AttemptResult {
-    const start = this.#start;
-    if (start?.isSigned !== true) {
-      return { failure: AttemptFailure.InDoubt, detail: `status ${String(start?.status)} without signature` };
-    }
-    const body = Buffer.concat(this.#chunks);
-    const { clock, book } = this.#context;
-    book.called(this.#server.id, clock.now() - this.#sentAtMs);
-    if (isServerError(start.status) && mayRepeat) {
-      this.kept = { start, body };
-      return { failure: AttemptFailure.InDoubt, detail: `status ${String(start.status)}` };
-    }
-    this.#answer.send(start.status, start.headers, body);
-    return answered;
-  }
-}
-
-/** Passes the events of a stream on as they come, each one once. */
-class StreamFollower implements Follower {
-  readonly #answer: CallerAnswer;
-  readonly #whole: WholeFollower;
-  readonly #splitter = createEventSplitter();
-  readonly #resumedAfter: number | undefined;
-  #start: AnswerStart | undefined;
-  eventsSeen = 0;
-  lastEventId: number | undefined;
-
-  constructor(
-    context: ForwardingContext,
-    answer: CallerAnswer,
-    server: BackendServer,
-    resumedAfter: number | undefined,
-  ) {
-    this.#answer = answer;
-    this.#resumedAfter = resumedAfter;
-    this.#whole = new WholeFollower(context, answer, server, context.clock.now());
-  }
-
-  get hasStarted(): boolean {
-    return this.eventsSeen > 0;
-  }
-
-  get kept(): KeptAnswer | undefined {
-    return this.#whole.kept;
-  }
-
-  take(event: AttemptEvent, mayRepeat: boolean): AttemptResult | undefined {
-    if (event.type === AttemptEventType.Started) {
-      this.#start = event.start;
-    }
-    const start = this.#start;
-    if (start !== undefined && !isSuccess(start.status)) {
-      return this.#takeError(event, start, mayRepeat);
-    }
-    switch (event.type) {
-      case AttemptEventType.Started:
-        return event.start.isSigned
-          ? undefined
-          : { failure: AttemptFailure.InDoubt, detail: 'stream without signature' };
-      case AttemptEventType.Body:
-        this.#splitter.push(event.chunk).forEach((whole) => {
-          this.#deliver(whole);
-        });
-        return undefined;
-      case AttemptEventType.Failed:
-        return { failure: event.failure, detail: event.detail };
-      case AttemptEventType.Ended:
-        return this.#finish();
-    }
-  }
-
-  /** An error instead of a stream is passed on whole, unless part of a stream was delivered. */
-  #takeError(event: AttemptEvent, start: AnswerStart, mayRepeat: boolean): AttemptResult | undefined {
-    if (this.#answer.hasBegun()) {
-      return {
-        failure: AttemptFailure.InDoubt,
-        detail: `status ${String(start.status)} to a resumed stream`,
-      };
-    }
-    return this.#whole.take(event, mayRepeat);
-  }
-
-  #deliver(event: StreamEvent): void {
-    this.eventsSeen += 1;
-    const isRepeated =
-      this.#resumedAfter !== undefined && event.id !== undefined && event.id <= this.#resumedAfter;
-    if (isRepeated) {
-      return;
-    }
-    this.#begin();
-    this.lastEventId = event.id ?? this.lastEventId;
-    this.#answer.write(event.bytes);
-  }
-
-  #begin(): void {
-    if (!this.#answer.hasBegun() && this.#start !== undefined) {
-      this.#answer.begin(this.#start.status, this.#start.headers);
-    }
-  }
-
-  #finish(): AttemptResult {
-    if (this.#splitter.pendingBytes() > 0) {
-      return { failure: AttemptFailure.InDoubt, detail: 'stream ended within an event' };
-    }
-    this.#begin();
-    this.#answer.end();
-    return answered;
-  }
+/** How a request ended, and the times of its answer. */
+export interface ForwardResult {
+  readonly end: RequestEnd;
+  readonly timing: AnswerTiming;
 }
 
 /**
@@ -489,13 +360,15 @@
  * @param request - the request
  * @param answer - the caller's answer
  * @param inbox - where the process hears of its request
- * @returns how the request ended; the caller was answered
+ * @returns how the request ended, and the times of its answer; the caller was answered
  */
 export function* forwardRequest(
   context: ForwardingContext,
   request: CallerRequest,
   answer: CallerAnswer,
   inbox: Channel<ForwardMessage>,
-): ProcessBody<RequestEnd> {
-  return yield* new Forward(context, request, answer, inbox).run();
+): ProcessBody<ForwardResult> {
+  const forward = new Forward(context, request, answer, inbox);
+  const end = yield* forward.run();
+  return { end, timing: forward.timing };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 /** The entry that sends to backend servers directly. */
+import { randomUUID } from 'node:crypto';
 import { type Clock, createRandom } from '@toucanbend/core';
 import {
   createCallerPort,
@@ -6,14 +7,16 @@
   type Dialect,
   type ForwardingContext,
 } from '@toucanbend/forwarding';
+import { type EngineParameters } from '@toucanbend/engine-model';
 import {
   createFollower,
+  createPeers,
   createRegistrar,
   createRegistryHolder,
   type FollowPace,
 } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
-import { createLoadBook, createRetryWindow, type RetryBound } from '@toucanbend/placement';
+import { applyNews, createLoadBook, createRetryWindow, type RetryBound } from '@toucanbend/placement';
 import {
   type BackendServer,
   type EntryMember,
@@ -45,6 +48,10 @@
   readonly graceMs: number;
   readonly dialect: Dialect;
   readonly source: RegistrySource;
+  /** Keys by which entries know one another. */
+  readonly peerKeys: readonly string[];
+  /** Addresses of other entries that are known from the start. */
+  readonly seeds: readonly string[];
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -63,9 +70,12 @@
 };
 /** Time to a server in another data centre and back; replaced by measured times once there are some. */
 const CROSS_ROUND_TRIP_MS = 8;
+/** Time without an answer, beyond a watch's wait, after which other entries are asked for news. */
+const STALE_AFTER_MS = 400;
+const PULL_INTERVAL_MS = 300;
 const PRUNE_INTERVAL_MS = 1_000;
 /** Time in which the balancer notices that an entry takes no more connections. */
-const NOTICE_MS = 3_000;
+const NOTICE_MS = 2_300;
 /** Time before the end of the grace in which what is still in flight is given up. */
 const GRACE_MARGIN_MS = 700;
 const LEAVE_CHECK_MS = 50;
@@ -115,18 +125,35 @@
   const book = createLoadBook();
   const random = createRandom(options.seed);
   let isLeaving = false;
+  const engineOf = (name: string): EngineParameters | undefined =>
+    holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
+  const peers = createPeers({
+    member,
+    incarnation: randomUUID(),
+    peerKeys: options.peerKeys,
+    seeds: options.seeds,
+    holder,
+    clock,
+    random,
+    logger,
+    onNews: (from, news) => {
+      applyNews(book, from, news, engineOf, clock.now());
+    },
+    onGone: book.dropOwner,
+  });
   const context: ForwardingContext = {
     clock,
     random,
     logger,
     metrics: createForwardingMetrics(new MetricsRegistry()),
     dialect: options.dialect,
-    planner: { dataCentre: member.dataCentre, crossRoundTripMs: CROSS_ROUND_TRIP_MS },
+    planner: { entry: member.name, dataCentre: member.dataCentre, crossRoundTripMs: CROSS_ROUND_TRIP_MS },
     book,
     retries: createRetryWindow(options.retryBound),
     registry: holder.current,
     entryCount: () => Math.max(1, listEntries(holder.current()).length),
     isLeaving: () => isLeaving,
+    tell: peers.tell.bind(peers),
   };
   const port = createCallerPort(context);
   holder.onChange((after, before) => {
@@ -141,6 +168,7 @@
   };
   await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
   await port.listen(options.callers.host, options.callers.port);
+  await peers.start();
   const follower = createFollower({ source, holder, clock, random, logger, paces });
   const registrar = createRegistrar(member, source, clock, logger);
   follower.start();
@@ -150,6 +178,17 @@
     clock.after(PRUNE_INTERVAL_MS, prune);
   };
   prune();
+  const pullIfStale = (): void => {
+    const nowMs = clock.now();
+    const isStale = [RecordKind.Catalogue, RecordKind.Server].some(
+      (kind) => nowMs - (follower.lastAnswerAtMs(kind) ?? 0) > paces[kind].waitMs + STALE_AFTER_MS,
+    );
+    if (isStale) {
+      peers.pull();
+    }
+    clock.after(PULL_INTERVAL_MS, pullIfStale);
+  };
+  pullIfStale();
   logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
 
   return {
@@ -159,13 +198,17 @@
         const startedAtMs = clock.now();
         logger.info('leaving', { inFlight: port.inFlight() });
         registrar.stop();
+        let isClosed = false;
         const check = (): void => {
           const elapsedMs = clock.now() - startedAtMs;
+          if (elapsedMs >= NOTICE_MS && !isClosed) {
+            isClosed = true;
+            port.stopListening();
+          }
           const isDone = elapsedMs >= NOTICE_MS && port.inFlight() === 0;
           if (isDone || elapsedMs >= options.graceMs - GRACE_MARGIN_MS) {
             logger.info('stopped', { inFlight: port.inFlight(), elapsedMs: Math.round(elapsedMs) });
             follower.stop();
-            port.closeIdle();
             clock.after(LEAVE_CHECK_MS, resolve);
             return;
           }
--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -9,6 +9,8 @@
   advanceEngine,
   type EngineParameters,
   type EngineState,
+  expectMore,
+  ExpectedEnd,
   runPass,
 } from '@toucanbend/engine-model';
 import { type Job, valueOf } from './job.js';
@@ -16,6 +18,8 @@
 /** A job at an engine, and what is known of its answer so far. */
 export interface PlacedJob {
   readonly job: Job;
+  /** The entry that placed it. */
+  readonly owner: string;
   /** Whether its answer is late already; further delay costs nothing more. */
   readonly isLate: boolean;
   readonly hasStarted: boolean;
@@ -30,6 +34,8 @@
   readonly jobs: ReadonlyMap<string, PlacedJob>;
   /** Time for bytes to the server and back, in milliseconds. */
   readonly roundTripMs: number;
+  /** From 0 to 1: how little this entry prefers the server to others that are as good. */
+  readonly strangeness: number;
 }
 
 /** What is expected of a placement. */
@@ -48,17 +54,21 @@
 /** Passes after the first token in which further prefills may still delay the new stream. */
 const PASSES_AFTER_START = 3;
 /** Share of a limit at which lateness becomes possible: predictions are off by about a fifth. */
-const RISK_STARTS_AT = 0.75;
+const RISK_STARTS_AT = 0.7;
 /** Share of a limit at which lateness is certain. */
 const RISK_ENDS_AT = 1.15;
 /** Share of its value that a job loses when it comes late. */
 const LATE_LOSS = 0.8;
 /** Cost of starting a short prompt on an idle engine, which the next long prompt would need, as a share of value. */
-const IDLE_ENGINE_COST = 0.04;
+const IDLE_ENGINE_COST = 0.12;
 /** Prompts whose prefill takes less than this share of their pause limit count as short. */
 const SHORT_PREFILL_SHARE = 0.5;
 /** Weight of how full a pass is, which spreads equal work over equal engines. */
 const FILL_COST = 0.02;
+/** Cost of the last slot of an engine, as a share of value: the ends of answers are not known exactly. */
+const OCCUPANCY_COST = 0.15;
+/** Cost of a server that other entries prefer, as a share of value: entries that decide at once go apart. */
+const AFFINITY_COST = 0.02;
 /** Cost of bytes between data centres, as a share of value. */
 const DISTANCE_COST_PER_MS = 0.0005;
 
@@ -100,7 +110,7 @@
   };
   while (passesLeft > 0 && state.requests.length > 0) {
     const before = state;
-    const pass = runPass(engine, state);
+    const pass = runPass(engine, state, ExpectedEnd.Leaves);
     const { durationMs } = pass;
     state = pass.state;
     atMs += durationMs;
@@ -151,17 +161,21 @@
   if (job.generation === undefined) {
     return undefined;
   }
-  const state = advanceEngine(candidate.engine, candidate.state, nowMs);
-  const jobs = new Map(candidate.jobs).set(job.id, { job, isLate: false, hasStarted: false });
+  const { engine } = candidate;
+  const state = expectMore(engine, advanceEngine(engine, candidate.state, nowMs));
+  const jobs = new Map(candidate.jobs).set(job.id, { job, owner: '', isLate: false, hasStarted: false });
   const added = addRequest(state, job.id, job.generation);
   const withJob = lookAhead(candidate, added, jobs, job.id, MAX_PASSES);
   const without = lookAhead(candidate, state, candidate.jobs, undefined, withJob.passes);
   const value = valueOf(job);
   const fill = Math.min(1, withJob.longestPassMs / Math.max(1, job.targetPauseMs));
   const isShort = withJob.longestPassMs < SHORT_PREFILL_SHARE * job.targetPauseMs;
+  const occupancy = (state.requests.length + 1) / Math.max(1, engine.slots);
   const preference =
     (state.requests.length === 0 && isShort ? IDLE_ENGINE_COST : 0) +
     FILL_COST * fill * fill +
+    OCCUPANCY_COST * occupancy ** 3 +
+    AFFINITY_COST * candidate.strangeness +
     DISTANCE_COST_PER_MS * candidate.roundTripMs;
   return {
     server: candidate.server,
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,5 +3,6 @@
 export * from './engine-choice.js';
 export * from './job.js';
 export * from './load-book.js';
+export * from './load-news.js';
 export * from './planner.js';
 export * from './retry-window.js';
--- a/packages/placement/src/load-book.ts
+++ b/packages/placement/src/load-book.ts
@@ -49,8 +49,8 @@
 /** Keeps the load of all servers. */
 export interface LoadBook {
   load(server: string): ServerLoad;
-  /** Notes that a job was sent to a server. */
-  placed(server: string, engine: EngineParameters | undefined, job: Job, atMs: number): void;
+  /** Notes that an entry has sent a job to a server. */
+  placed(owner: string, server: string, engine: EngineParameters | undefined, job: Job, atMs: number): void;
   /** Notes an event of a job's answer. */
   observed(server: string, engine: EngineParameters | undefined, event: ObservedEvent): void;
   /** Notes the end of a job. */
@@ -59,6 +59,8 @@
   called(server: string, elapsedMs: number): void;
   failed(server: string, atMs: number): void;
   succeeded(server: string): void;
+  /** Drops the jobs of an entry whose process is gone. */
+  dropOwner(owner: string): void;
   /** Drops jobs long past their deadlines, and servers that are gone. */
   prune(known: ReadonlySet<string>, nowMs: number): void;
 }
@@ -71,6 +73,8 @@
   /** Time since the event before; undefined for the first one. */
   readonly pauseMs: number | undefined;
   readonly atMs: number;
+  /** Time that the event was on its way, in milliseconds. */
+  readonly wayMs: number;
 }
 
 function clamp(value: number, least: number, most: number): number {
@@ -106,11 +110,23 @@
     loads.set(server, { ...load(server), ...part });
   };
 
+  const dropJobs = (server: string, isDropped: (placed: PlacedJob) => boolean): void => {
+    const { jobs, engineState } = load(server);
+    const gone = new Set([...jobs].filter(([, placed]) => isDropped(placed)).map(([id]) => id));
+    if (gone.size > 0) {
+      const requests = engineState.requests.filter((request) => !gone.has(request.id));
+      change(server, {
+        jobs: new Map([...jobs].filter(([id]) => !gone.has(id))),
+        engineState: { ...engineState, requests },
+      });
+    }
+  };
+
   return {
     load,
-    placed: (server, engine, job, atMs) => {
+    placed: (owner, server, engine, job, atMs) => {
       const before = load(server);
-      const jobs = new Map(before.jobs).set(job.id, { job, isLate: false, hasStarted: false });
+      const jobs = new Map(before.jobs).set(job.id, { job, owner, isLate: false, hasStarted: false });
       if (engine === undefined || job.generation === undefined) {
         change(server, { jobs });
         return;
@@ -136,7 +152,11 @@
         hasStarted: true,
         isLate: isLateNow(placed, event),
       });
-      change(server, { jobs, slowdown, engineState: observeTokens(state, event.jobId, event.tokens) });
+      change(server, {
+        jobs,
+        slowdown,
+        engineState: observeTokens(state, event.jobId, event.tokens, event.atMs - event.wayMs),
+      });
     },
     ended: (server, jobId) => {
       const before = load(server);
@@ -154,23 +174,19 @@
     succeeded: (server) => {
       change(server, { health: recordSuccess(load(server).health) });
     },
+    dropOwner: (owner) => {
+      for (const server of loads.keys()) {
+        dropJobs(server, (placed) => placed.owner === owner);
+      }
+    },
     prune: (known, nowMs) => {
-      for (const [server, { jobs, engineState }] of loads) {
+      for (const [server, { jobs }] of loads) {
         if (!known.has(server) && jobs.size === 0) {
           loads.delete(server);
           continue;
         }
-        const overdue = [...jobs.values()].filter(({ job }) => job.deadlineAtMs + FORGET_AFTER_MS < nowMs);
-        if (overdue.length > 0) {
-          const gone = new Set(overdue.map(({ job }) => job.id));
-          change(server, {
-            jobs: new Map([...jobs].filter(([id]) => !gone.has(id))),
-            engineState: {
-              ...engineState,
-              requests: engineState.requests.filter((request) => !gone.has(request.id)),
-            },
-          });
-        }
+        const isOverdue = ({ job }: PlacedJob): boolean => job.deadlineAtMs + FORGET_AFTER_MS < nowMs;
+        dropJobs(server, isOverdue);
       }
     },
   };
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -1,5 +1,5 @@
 /** Decides where a request goes, from the registry and the load book. */
-import { slowEngine } from '@toucanbend/engine-model';
+import { type EngineParameters, prefillMs, slowEngine } from '@toucanbend/engine-model';
 import {
   type BackendServer,
   listServers,
@@ -7,14 +7,17 @@
   ServerState,
   type Service,
 } from '@toucanbend/registry';
+import murmurhash from 'murmurhash';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
-import { chooseEngine, type EngineCandidate } from './engine-choice.js';
-import { type Job } from './job.js';
+import { chooseEngine, type EngineCandidate, type EnginePrediction } from './engine-choice.js';
+import { type Job, valueOf } from './job.js';
 import { isEligible, type LoadBook } from './load-book.js';
 
 /** What is decided about a request. */
 export enum DecisionKind {
   Send = 'send',
+  /** A better place is expected while there is time to wait for it. */
+  Wait = 'wait',
   /** No server is known, or none can answer in time. */
   Refuse = 'refuse',
 }
@@ -34,10 +37,13 @@
       readonly expectedMs: number;
       readonly cost: number;
     }
+  | { readonly kind: DecisionKind.Wait; readonly waitMs: number; readonly cost: number }
   | { readonly kind: DecisionKind.Refuse; readonly reason: RefusalReason; readonly retryAfterMs: number };
 
 /** Times that a planner needs. */
 export interface PlannerSettings {
+  /** Name of this entry. */
+  readonly entry: string;
   readonly dataCentre: string;
   /** Time to another data centre and back, in milliseconds. */
   readonly crossRoundTripMs: number;
@@ -57,6 +63,12 @@
   return server.dataCentre === settings.dataCentre ? 0 : settings.crossRoundTripMs;
 }
 
+const HASH_RANGE = 0x1_0000_0000;
+
+function strangeness(entry: string, server: string): number {
+  return murmurhash.v3(`${entry}/${server}`) / HASH_RANGE;
+}
+
 function refuse(reason: RefusalReason, retryAfterMs: number): PlacementDecision {
   return { kind: DecisionKind.Refuse, reason, retryAfterMs };
 }
@@ -88,6 +100,28 @@
   return { kind: DecisionKind.Send, server, expectedMs: best.answerMs, cost: 0 };
 }
 
+/** Expected loss, as a share of a job's own value, from which on a better place is waited for. */
+const WAIT_COST = 0.25;
+/** Share of the target that is kept in hand while a job waits. */
+const WAIT_RESERVE = 0.2;
+/** Time between two looks for a better place, in milliseconds: about a pass of an engine. */
+const WAIT_STEP_MS = 40;
+
+/**
+ * Tells how long a job should wait for a better place.
+ *
+ * Answers the load pattern of a burst of long prompts while every engine serves short ones: a long prompt has seconds
+ * until its target, in which engines become free; placed at once it would break the pauses of all streams there.
+ */
+function waitFor(engine: EngineParameters, job: Job, best: EnginePrediction, nowMs: number): number {
+  if (job.generation === undefined || best.cost < WAIT_COST * valueOf(job)) {
+    return 0;
+  }
+  const aloneMs = prefillMs(engine, 0, job.generation.promptTokens);
+  const slackMs = job.arrivedAtMs + job.targetMs * (1 - WAIT_RESERVE) - nowMs - aloneMs;
+  return Math.min(slackMs, WAIT_STEP_MS);
+}
+
 function planGeneration(
   servers: readonly BackendServer[],
   service: Service,
@@ -109,6 +143,7 @@
       engine: slowEngine(engine, load.slowdown),
       state: load.engineState,
       jobs: load.jobs,
+      strangeness: strangeness(inputs.settings.entry, server.id),
       roundTripMs: roundTripMs(server, inputs.settings),
     };
   });
@@ -120,7 +155,10 @@
   if (nowMs + best.firstEventMs > job.deadlineAtMs) {
     return refuse(RefusalReason.TooLate, best.firstEventMs);
   }
-  return { kind: DecisionKind.Send, server, expectedMs: best.firstEventMs, cost: best.cost };
+  const waitMs = waitFor(engine, job, best, nowMs);
+  return waitMs > 0
+    ? { kind: DecisionKind.Wait, waitMs, cost: best.cost }
+    : { kind: DecisionKind.Send, server, expectedMs: best.firstEventMs, cost: best.cost };
 }
 
 /**
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -27,6 +27,9 @@
   Digest = 30,
   Pull = 31,
   Changes = 32,
+  LoadNews = 40,
+  RegistryPull = 41,
+  RegistryNews = 42,
 }
 
 /** What a side knows of an execution token. */
@@ -48,6 +51,9 @@
   Operator = 'operator',
 }
 
+/** Changes of load in one frame at most; an entry sends far fewer in the time between two frames. */
+const MAX_NEWS = 4_096;
+
 const name = z.string().max(256);
 const count = z.number().int().nonnegative();
 const milliseconds = z.number().nonnegative();
@@ -132,6 +138,14 @@
   [FrameType.Pull]: z.object({ revision: count }),
   /** Configuration from one revision to another; `from` 0 means the whole document. */
   [FrameType.Changes]: z.object({ from: count, to: count, payload: z.string() }),
+  /** What an entry has sent to backend servers and what has ended there. */
+  [FrameType.LoadNews]: z.object({ changes: z.array(z.unknown()).max(MAX_NEWS) }),
+  /** Asks an entry for records of the registry that are newer than those known to the sender. */
+  [FrameType.RegistryPull]: z.object({ revisions: z.record(z.string(), count) }),
+  [FrameType.RegistryNews]: z.object({
+    revisions: z.record(z.string(), count),
+    records: z.array(z.unknown()),
+  }),
 } as const;
 
 type Shapes = typeof frameShapes;
