--- a/packages/engine-model/src/engine-state.ts
+++ b/packages/engine-model/src/engine-state.ts
@@ -1,5 +1,5 @@
 /** The state of an engine by its published model, moved on pass by pass. */
-import { type EngineParameters, type Generation, generatingStepMs, prefillMs } from './parameters.js';
+import { type EngineParameters, type Generation, generatingStepMs, prefillNextMs } from './parameters.js';
 
 /** One request at an engine. */
 export interface EngineRequest extends Generation {
@@ -18,25 +18,9 @@
   readonly requests: readonly EngineRequest[];
 }
 
-/** What one pass brought. */
-export interface PassResult {
-  readonly state: EngineState;
-  readonly durationMs: number;
-  /** Requests whose first token came in this pass. */
-  readonly started: readonly string[];
-}
-
 /** An engine without requests. */
 export const idleEngine: EngineState = { passStartsAtMs: 0, lastPassMs: 0, requests: [] };
 
-function isGenerating(request: EngineRequest): boolean {
-  return request.prefilledTokens >= request.promptTokens;
-}
-
-function isFinished(request: EngineRequest): boolean {
-  return isGenerating(request) && request.generatedTokens >= request.answerTokens;
-}
-
 /** What becomes of requests whose expected answer is complete. */
 export enum ExpectedEnd {
   /** They leave the engine, as in a forecast. */
@@ -45,74 +29,164 @@
   Stays = 'stays',
 }
 
-/** Marks which requests hold a slot and memory: the first ones that fit. */
-function countAdmitted(engine: EngineParameters, requests: readonly EngineRequest[]): number {
-  let memoryTokens = 0;
-  let admitted = 0;
-  for (const request of requests) {
-    memoryTokens += request.promptTokens + request.generatedTokens;
-    if (admitted >= engine.slots || (memoryTokens > engine.memoryTokens && admitted > 0)) {
-      break;
-    }
-    admitted += 1;
-  }
-  return admitted;
-}
-
 /**
- * Runs one pass: generating requests get their tokens, and prompts are prefilled in chunks beside them.
- *
- * @param engine - parameters of the engine
- * @param state - state before the pass
- * @param expectedEnd - what becomes of requests whose expected answer is complete
- * @returns what the pass brought
+ * Share by which answers are expected to be longer than estimated. Estimates are right at the median; a forecast that
+ * relies on the end of an answer needs more than even odds.
  */
-export function runPass(engine: EngineParameters, state: EngineState, expectedEnd: ExpectedEnd): PassResult {
-  const admitted = countAdmitted(engine, state.requests);
-  let stepMs = engine.stepMs;
-  let generates = false;
-  for (let index = 0; index < admitted; index += 1) {
-    const request = state.requests[index];
-    if (request !== undefined && isGenerating(request)) {
-      generates = true;
-      stepMs += generatingStepMs(engine, request.promptTokens + request.generatedTokens);
+const LONGER_SHARE = 0.3;
+
+/** A request while passes are run; it is changed in place, since forecasts run many passes. */
+interface RunningRequest {
+  readonly request: EngineRequest;
+  /** Tokens after which the request leaves a forecast. */
+  readonly expectedTokens: number;
+  prefilledTokens: number;
+  generatedTokens: number;
+}
+
+function startRunning(engine: EngineParameters, request: EngineRequest): RunningRequest {
+  const { prefilledTokens, generatedTokens, answerTokens } = request;
+  const longer = Math.max(answerTokens, generatedTokens) * (1 + LONGER_SHARE);
+  return { request, expectedTokens: longer + engine.stepsPerPass, prefilledTokens, generatedTokens };
+}
+
+function isGenerating(running: RunningRequest): boolean {
+  return running.prefilledTokens >= running.request.promptTokens;
+}
+
+/** Runs an engine pass by pass, from a state that stays as it is. */
+export class EngineRun {
+  readonly #engine: EngineParameters;
+  readonly #expectedEnd: ExpectedEnd;
+  #requests: RunningRequest[];
+  #passStartsAtMs: number;
+  #lastPassMs: number;
+
+  /**
+   * @param engine - parameters of the engine
+   * @param state - state to start from
+   * @param expectedEnd - what becomes of requests whose expected answer is complete
+   */
+  constructor(engine: EngineParameters, state: EngineState, expectedEnd: ExpectedEnd) {
+    this.#engine = engine;
+    this.#expectedEnd = expectedEnd;
+    this.#requests = state.requests.map((request) => startRunning(engine, request));
+    this.#passStartsAtMs = state.passStartsAtMs;
+    this.#lastPassMs = state.lastPassMs;
+  }
+
+  /** Start of the next pass. */
+  get passStartsAtMs(): number {
+    return this.#passStartsAtMs;
+  }
+
+  /** How many requests run or wait. */
+  get size(): number {
+    return this.#requests.length;
+  }
+
+  /**
+   * Adds a request: a whole prompt behind those that are there, a part of a prompt before other prompts.
+   *
+   * @param request - the request
+   */
+  add(request: EngineRequest): void {
+    const running = startRunning(this.#engine, request);
+    if (request.wholeTokens === undefined) {
+      this.#requests.push(running);
+    } else {
+      this.#requests.unshift(running);
     }
   }
-  const steps = generates ? engine.stepsPerPass : 1;
-  let durationMs = steps * stepMs;
-  let budgetTokens = steps * engine.chunkTokens;
-  const started: string[] = [];
-  const requests: EngineRequest[] = [];
-  state.requests.forEach((request, index) => {
-    if (index >= admitted) {
-      requests.push(request);
-      return;
+
+  /**
+   * Runs one pass: generating requests get their tokens, and prompts are prefilled in chunks beside them.
+   *
+   * @param onGenerated - learns of each request that got tokens in the pass
+   * @param onStarted - learns of each request whose first token came in the pass
+   * @returns duration of the pass in milliseconds
+   */
+  pass(onGenerated: (id: string) => void, onStarted: (id: string) => void): number {
+    const engine = this.#engine;
+    const admitted = this.#countAdmitted();
+    let stepMs = engine.stepMs;
+    let generates = false;
+    for (let index = 0; index < admitted; index += 1) {
+      const running = this.#requests[index];
+      if (running !== undefined && isGenerating(running)) {
+        generates = true;
+        stepMs += generatingStepMs(engine, running.request.promptTokens + running.generatedTokens);
+      }
+    }
+    const steps = generates ? engine.stepsPerPass : 1;
+    let durationMs = steps * stepMs;
+    let budgetTokens = steps * engine.chunkTokens;
+    for (let index = 0; index < admitted; index += 1) {
+      const running = this.#requests[index];
+      if (running === undefined) {
+        break;
+      }
+      const { request } = running;
+      if (isGenerating(running)) {
+        running.generatedTokens += steps;
+        onGenerated(request.id);
+        continue;
+      }
+      const tokens = Math.min(budgetTokens, request.promptTokens - running.prefilledTokens);
+      budgetTokens -= tokens;
+      durationMs += prefillNextMs(engine, request, running.prefilledTokens, tokens);
+      running.prefilledTokens += tokens;
+      if (isGenerating(running)) {
+        onStarted(request.id);
+      }
     }
-    if (isGenerating(request)) {
-      requests.push({ ...request, generatedTokens: request.generatedTokens + steps });
-      return;
+    this.#passStartsAtMs += durationMs;
+    this.#lastPassMs = durationMs;
+    if (this.#expectedEnd === ExpectedEnd.Leaves) {
+      this.#dropFinished();
     }
-    const tokens = Math.min(budgetTokens, request.promptTokens - request.prefilledTokens);
-    budgetTokens -= tokens;
-    durationMs += prefillMs(engine, request.prefilledTokens, tokens);
-    const prefilledTokens = request.prefilledTokens + tokens;
-    if (prefilledTokens >= request.promptTokens) {
-      started.push(request.id);
+    return durationMs;
+  }
+
+  /** Gives the state between the pass before and the next one. */
+  state(): EngineState {
+    return {
+      passStartsAtMs: this.#passStartsAtMs,
+      lastPassMs: this.#lastPassMs,
+      requests: this.#requests.map(({ request, prefilledTokens, generatedTokens }) => ({
+        ...request,
+        prefilledTokens,
+        generatedTokens,
+      })),
+    };
+  }
+
+  /** Counts the requests that hold a slot and memory: the first ones that fit. */
+  #countAdmitted(): number {
+    const { slots, memoryTokens } = this.#engine;
+    let neededTokens = 0;
+    let admitted = 0;
+    for (const { request, generatedTokens } of this.#requests) {
+      neededTokens += request.promptTokens + generatedTokens;
+      if (admitted >= slots || (neededTokens > memoryTokens && admitted > 0)) {
+        break;
+      }
+      admitted += 1;
     }
-    requests.push({ ...request, prefilledTokens });
-  });
-  return {
-    durationMs,
-    started,
-    state: {
-      passStartsAtMs: state.passStartsAtMs + durationMs,
-      lastPassMs: durationMs,
-      requests:
-        expectedEnd === ExpectedEnd.Stays ? requests : requests.filter((request) => !isFinished(request)),
-    },
-  };
+    return admitted;
+  }
+
+  #dropFinished(): void {
+    const isFinished = (running: RunningRequest): boolean =>
+      isGenerating(running) && running.generatedTokens >= running.expectedTokens;
+    if (this.#requests.some(isFinished)) {
+      this.#requests = this.#requests.filter((running) => !isFinished(running));
+    }
+  }
 }
 
+const ignore = (): void => undefined;
+
 /**
  * Moves an engine on until the pass that runs at a time.
  *
@@ -122,27 +196,52 @@
  * @returns the state whose next pass starts after that time, or an idle engine
  */
 export function advanceEngine(engine: EngineParameters, state: EngineState, nowMs: number): EngineState {
-  let current = state;
-  while (current.requests.length > 0 && current.passStartsAtMs <= nowMs) {
-    current = runPass(engine, current, ExpectedEnd.Stays).state;
+  if (state.passStartsAtMs > nowMs) {
+    return state;
   }
-  return current.requests.length > 0
-    ? current
-    : { ...current, passStartsAtMs: Math.max(current.passStartsAtMs, nowMs) };
+  if (state.requests.length === 0) {
+    return { ...state, passStartsAtMs: nowMs };
+  }
+  const run = new EngineRun(engine, state, ExpectedEnd.Stays);
+  while (run.passStartsAtMs <= nowMs) {
+    run.pass(ignore, ignore);
+  }
+  return run.state();
 }
 
 /**
- * Adds a request behind those that are there.
+ * Creates a request that has not begun.
  *
- * @param state - state of the engine
  * @param id - name of the request
  * @param generation - its length
+ * @returns the request
+ */
+export function newRequest(id: string, generation: Generation): EngineRequest {
+  const { promptTokens, answerTokens, wholeTokens } = generation;
+  return { id, promptTokens, answerTokens, wholeTokens, prefilledTokens: 0, generatedTokens: 0 };
+}
+
+/**
+ * Adds a request: a whole prompt behind those that are there, a part of a prompt before other prompts.
+ *
+ * @param state - state of the engine
+ * @param request - the request
  * @returns the state with the request
  */
-export function addRequest(state: EngineState, id: string, generation: Generation): EngineState {
-  const { promptTokens, answerTokens } = generation;
-  const request = { id, promptTokens, answerTokens, prefilledTokens: 0, generatedTokens: 0 };
-  return { ...state, requests: [...state.requests, request] };
+export function addRequest(state: EngineState, request: EngineRequest): EngineState {
+  const requests =
+    request.wholeTokens === undefined ? [...state.requests, request] : [request, ...state.requests];
+  return { ...state, requests };
+}
+
+/**
+ * Gives the memory that requests at an engine need.
+ *
+ * @param state - state of the engine
+ * @returns tokens of prompts and answers
+ */
+export function neededTokens(state: EngineState): number {
+  return state.requests.reduce((sum, request) => sum + request.promptTokens + request.generatedTokens, 0);
 }
 
 /**
@@ -178,24 +277,3 @@
   const passStartsAtMs = isEndOfRunningPass ? passEndedAtMs : passEndedAtMs + state.lastPassMs;
   return { ...state, requests, passStartsAtMs };
 }
-
-/**
- * Share by which answers are expected to be longer than estimated. Estimates are right at the median; a forecast that
- * relies on the end of an answer needs more than even odds.
- */
-const LONGER_SHARE = 0.3;
-
-/**
- * Makes a state ready for a forecast, with answers somewhat longer than estimated.
- *
- * @param engine - parameters of the engine
- * @param state - the state
- * @returns the state in which every answer still has tokens to come
- */
-export function expectMore(engine: EngineParameters, state: EngineState): EngineState {
-  const requests = state.requests.map((request) => {
-    const base = Math.max(request.answerTokens, request.generatedTokens);
-    return { ...request, answerTokens: base * (1 + LONGER_SHARE) + engine.stepsPerPass };
-  });
-  return { ...state, requests };
-}
--- a/packages/engine-model/src/parameters.ts
+++ b/packages/engine-model/src/parameters.ts
@@ -29,6 +29,8 @@
   readonly promptTokens: number;
   /** Expected length of the answer in tokens. */
   readonly answerTokens: number;
+  /** Where this is one of the even parts of a prompt that several engines prefill: the length of that prompt. */
+  readonly wholeTokens?: number | undefined;
 }
 
 const PAIRS_PER_MILLION = 1_000_000;
@@ -47,6 +49,28 @@
   return tokens / engine.prefillTokensPerMs + (pairs / PAIRS_PER_MILLION) * engine.attentionMsPerMillionPairs;
 }
 
+/**
+ * Gives the time that an engine needs to prefill the next tokens of a prompt or of a part of one.
+ *
+ * @param engine - parameters of the engine
+ * @param generation - the prompt, or the part
+ * @param fromToken - tokens that are already prefilled
+ * @param tokens - tokens to prefill
+ * @returns time in milliseconds; a part has its share of the pairs of the whole prompt
+ */
+export function prefillNextMs(
+  engine: EngineParameters,
+  generation: Generation,
+  fromToken: number,
+  tokens: number,
+): number {
+  if (generation.wholeTokens === undefined) {
+    return prefillMs(engine, fromToken, tokens);
+  }
+  const pairs = (tokens * generation.wholeTokens) / 2;
+  return tokens / engine.prefillTokensPerMs + (pairs / PAIRS_PER_MILLION) * engine.attentionMsPerMillionPairs;
+}
+
 /**
  * Gives the time that one generating request adds to a step.
  *
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -4,6 +4,7 @@
 import { type LoadBook, type LoadNews, type PlannerSettings, type RetryWindow } from '@toucanbend/placement';
 import { type Registry } from '@toucanbend/registry';
 import { type Dialect } from './dialect.js';
+import { type EngineMemory } from './memory.js';
 import { type ForwardingMetrics } from './metrics.js';
 
 /** What the processes of requests share. */
@@ -16,6 +17,7 @@
   readonly planner: PlannerSettings;
   readonly book: LoadBook;
   readonly retries: RetryWindow;
+  readonly memory: EngineMemory;
   /** The registry as it is now. */
   readonly registry: () => Registry;
   /** How many entries share the budget for repeats. */
--- a/packages/forwarding/src/description.ts
+++ b/packages/forwarding/src/description.ts
@@ -44,6 +44,7 @@
       return {
         decided,
         server: decision.server.id,
+        helpers: decision.helpers.length,
         expectedMs: Math.round(decision.expectedMs),
         cost: Math.round(decision.cost * 100) / 100,
         there: book.load(decision.server.id).jobs.size,
--- a/packages/forwarding/src/dialect.ts
+++ b/packages/forwarding/src/dialect.ts
@@ -22,6 +22,14 @@
   readonly prompt: PromptHead | undefined;
 }
 
+/** A server that prefills a part of the prompt. */
+export interface AttemptHelper {
+  readonly host: string;
+  readonly port: number;
+  /** Name of the memory that is set aside for the part; undefined where none is. */
+  readonly reservation: string | undefined;
+}
+
 /** What the forwarding says to a server besides the caller's own headers. */
 export interface AttemptHead {
   readonly timeLeftMs: number;
@@ -32,6 +40,7 @@
   readonly rank: number;
   /** The last event that was delivered, where a stream goes on. */
   readonly lastEventId: number | undefined;
+  readonly helpers: readonly AttemptHelper[];
 }
 
 /** What the head of a server's answer says. */
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,14 +1,16 @@
 /** The process of one request: it places it, follows its attempts, and answers the caller. */
-import { type Channel, createChannel, type ProcessBody, receiveWithin } from '@toucanbend/channel';
+import { type Channel, createChannel, type ProcessBody, receiveWithin, settle } from '@toucanbend/channel';
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind as LogDecision } from '@toucanbend/observability';
 import {
   DecisionKind,
+  type Helper,
   type Job,
   NewsKind,
   planJob,
   type PlacementDecision,
   RefusalReason,
+  sharesOf,
 } from '@toucanbend/placement';
 import {
   AnswerForm,
@@ -29,6 +31,7 @@
 import { type AnswerTiming, describeDecision, unmeasured } from './description.js';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
+import { type MemoryError, reserveParts } from './memory.js';
 import { mayFollow, noAttempts, outcomeOf, recordAttempt } from './repeat.js';
 
 /** What a request's process hears of. */
@@ -111,7 +114,7 @@
         continue;
       }
       this.#expectedMs = decision.expectedMs;
-      const end = yield* this.#attempt(decision.server);
+      const end = yield* this.#attempt(decision.server, decision.helpers);
       if (end !== undefined) {
         return end;
       }
@@ -159,20 +162,23 @@
   }
 
   /** Makes one attempt; undefined where another may follow. */
-  *#attempt(server: BackendServer): ProcessBody<RequestEnd | undefined> {
+  *#attempt(server: BackendServer, helpers: readonly Helper[]): ProcessBody<RequestEnd | undefined> {
     const { book, clock, tell } = this.#context;
-    const { engine } = this.#request.service;
-    const sentAtMs = clock.now();
-    this.#placedAtMs = sentAtMs;
     this.#attemptNumber += 1;
     this.#tried.add(server.id);
-    book.placed(this.#context.planner.entry, server.id, engine, this.#job, sentAtMs);
-    tell({ kind: NewsKind.Placed, server: server.id, job: this.#job, atMs: sentAtMs });
-    const attempt = this.#start(server);
-    const result = yield* this.#follow(server, attempt, sentAtMs);
+    this.#place(server, helpers);
+    const reserved = yield* settle(reserveParts(this.#context, this.#reservationName(), helpers));
+    if (!('release' in reserved)) {
+      this.#remove(server, helpers);
+      this.#noteRefusedMemory(server, reserved);
+      return undefined;
+    }
+    this.#placedAtMs = clock.now();
+    const attempt = this.#start(server, helpers);
+    const result = yield* this.#follow(server, attempt, this.#placedAtMs);
     attempt.cancel();
-    book.ended(server.id, this.#job.id);
-    tell({ kind: NewsKind.Ended, server: server.id, jobId: this.#job.id });
+    reserved.release();
+    this.#remove(server, helpers);
     if (result.failure === undefined) {
       book.succeeded(server.id);
       return result.end;
@@ -193,7 +199,41 @@
     return undefined;
   }
 
-  #start(server: BackendServer): Attempt {
+  #noteRefusedMemory(server: BackendServer, errors: readonly MemoryError[]): void {
+    errors.forEach((error) => this.#tried.add(error.server));
+    this.#history = recordAttempt(this.#history, AttemptFailure.NotSent);
+    this.#log(LogDecision.Retry, {
+      failure: 'memory_refused',
+      server: server.id,
+      refusedBy: errors.map((error) => `${error.server}: ${error.message}`),
+      attempt: this.#attemptNumber,
+    });
+  }
+
+  /** Name of the memory that is set aside for the running attempt. */
+  #reservationName(): string {
+    return `${this.#job.id}-${String(this.#attemptNumber)}`;
+  }
+
+  #place(server: BackendServer, helpers: readonly Helper[]): void {
+    const { book, clock, tell, planner } = this.#context;
+    const { engine } = this.#request.service;
+    const atMs = clock.now();
+    for (const share of sharesOf(this.#job, server, helpers)) {
+      book.placed(planner.entry, share.server.id, engine, share.job, atMs);
+      tell({ kind: NewsKind.Placed, server: share.server.id, job: share.job, atMs });
+    }
+  }
+
+  #remove(server: BackendServer, helpers: readonly Helper[]): void {
+    const { book, tell } = this.#context;
+    for (const share of sharesOf(this.#job, server, helpers)) {
+      book.ended(share.server.id, share.job.id);
+      tell({ kind: NewsKind.Ended, server: share.server.id, jobId: share.job.id });
+    }
+  }
+
+  #start(server: BackendServer, helpers: readonly Helper[]): Attempt {
     const { clock, dialect } = this.#context;
     const { head, method, path, body, account, rank } = this.#request;
     const number = this.#attemptNumber;
@@ -203,6 +243,11 @@
       account,
       rank,
       lastEventId: this.#lastEventId,
+      helpers: helpers.map((helper) => ({
+        host: helper.server.host,
+        port: helper.server.port,
+        reservation: helper.keepsPart ? this.#reservationName() : undefined,
+      })),
     });
     return startAttempt({
       host: server.host,
@@ -333,7 +378,7 @@
     return { outcome, reason, retryAfterMs };
   }
 
-  #log(decision: LogDecision, fields: Record<string, string | number | boolean>): void {
+  #log(decision: LogDecision, fields: Record<string, string | number | readonly string[]>): void {
     this.#context.logger.decision({ decision, request: this.#request.head.requestId, fields });
   }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,5 +8,6 @@
 export * from './event-splitter.js';
 export * from './forward.js';
 export * from './headers.js';
+export * from './memory.js';
 export * from './metrics.js';
 export * from './repeat.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
   createCallerPort,
   createForwardingMetrics,
   type Dialect,
+  type EngineMemory,
   type ForwardingContext,
 } from '@toucanbend/forwarding';
 import { type EngineParameters } from '@toucanbend/engine-model';
@@ -47,6 +48,7 @@
   /** Time from the signal to stop until the process is ended from outside, in milliseconds. */
   readonly graceMs: number;
   readonly dialect: Dialect;
+  readonly memory: EngineMemory;
   readonly source: RegistrySource;
   /** Keys by which entries know one another. */
   readonly peerKeys: readonly string[];
@@ -147,6 +149,7 @@
     logger,
     metrics: createForwardingMetrics(new MetricsRegistry()),
     dialect: options.dialect,
+    memory: options.memory,
     planner: { entry: member.name, dataCentre: member.dataCentre, crossRoundTripMs: CROSS_ROUND_TRIP_MS },
     book,
     retries: createRetryWindow(options.retryBound),
--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -5,13 +5,13 @@
  * its engine, so that every stream there pauses for longer than its callers accept.
  */
 import {
-  addRequest,
   advanceEngine,
   type EngineParameters,
+  type EngineRequest,
+  EngineRun,
   type EngineState,
-  expectMore,
   ExpectedEnd,
-  runPass,
+  newRequest,
 } from '@toucanbend/engine-model';
 import { type Job, valueOf } from './job.js';
 
@@ -47,6 +47,8 @@
   readonly longestPassMs: number;
   /** Value that is expected to be lost, of this job and of those that run there. */
   readonly cost: number;
+  /** The part of the cost that others bear. */
+  readonly harm: number;
 }
 
 /** Passes that a prediction looks ahead at most; enough for the longest prompt that fits into memory. */
@@ -90,47 +92,51 @@
   candidate: EngineCandidate,
   start: EngineState,
   jobs: ReadonlyMap<string, PlacedJob>,
-  watched: string | undefined,
+  added: EngineRequest | undefined,
   passLimit: number,
 ): Outlook {
   const { engine } = candidate;
   const losses = new Map<string, number>();
-  const started = new Set<string>();
-  let state = start;
-  let atMs = start.passStartsAtMs;
+  const run = new EngineRun(engine, start, ExpectedEnd.Leaves);
+  if (added !== undefined) {
+    run.add(added);
+  }
   let firstEventAtMs = Number.POSITIVE_INFINITY;
   let longestPassMs = 0;
   let passes = 0;
   let passesLeft = passLimit;
-  const lose = (id: string, risk: number): void => {
+  let generated: string[] = [];
+  let started: string[] = [];
+  const lose = (id: string, elapsedMs: number, limitMs: number): void => {
     const placed = jobs.get(id);
+    const risk = riskOf(elapsedMs, limitMs);
     if (placed !== undefined && !placed.isLate && risk > 0) {
       losses.set(id, Math.max(losses.get(id) ?? 0, risk * LATE_LOSS * valueOf(placed.job)));
     }
   };
-  while (passesLeft > 0 && state.requests.length > 0) {
-    const before = state;
-    const pass = runPass(engine, state, ExpectedEnd.Leaves);
-    const { durationMs } = pass;
-    state = pass.state;
-    atMs += durationMs;
+  while (passesLeft > 0 && run.size > 0) {
+    generated = [];
+    started = [];
+    const durationMs = run.pass(
+      (id) => generated.push(id),
+      (id) => started.push(id),
+    );
     passes += 1;
     passesLeft -= 1;
     longestPassMs = Math.max(longestPassMs, durationMs);
-    for (const request of before.requests) {
-      if (request.prefilledTokens >= request.promptTokens) {
-        lose(request.id, riskOf(durationMs, jobs.get(request.id)?.job.targetPauseMs ?? Infinity));
-      }
+    for (const id of generated) {
+      lose(id, durationMs, jobs.get(id)?.job.targetPauseMs ?? Infinity);
     }
-    for (const id of pass.started) {
-      started.add(id);
+    for (const id of started) {
       const job = jobs.get(id)?.job;
-      if (job !== undefined) {
-        lose(id, riskOf(atMs + candidate.roundTripMs - job.arrivedAtMs, job.targetMs));
-      }
+      lose(
+        id,
+        run.passStartsAtMs + candidate.roundTripMs - (job?.arrivedAtMs ?? 0),
+        job?.targetMs ?? Infinity,
+      );
     }
-    if (watched !== undefined && pass.started.includes(watched)) {
-      firstEventAtMs = atMs;
+    if (added !== undefined && started.includes(added.id)) {
+      firstEventAtMs = run.passStartsAtMs;
       passesLeft = Math.min(passesLeft, PASSES_AFTER_START);
     }
   }
@@ -162,11 +168,14 @@
     return undefined;
   }
   const { engine } = candidate;
-  const state = expectMore(engine, advanceEngine(engine, candidate.state, nowMs));
+  const state = advanceEngine(engine, candidate.state, nowMs);
   const jobs = new Map(candidate.jobs).set(job.id, { job, owner: '', isLate: false, hasStarted: false });
-  const added = addRequest(state, job.id, job.generation);
-  const withJob = lookAhead(candidate, added, jobs, job.id, MAX_PASSES);
-  const without = lookAhead(candidate, state, candidate.jobs, undefined, withJob.passes);
+  const withJob = lookAhead(candidate, state, jobs, newRequest(job.id, job.generation), MAX_PASSES);
+  const ownLoss = withJob.losses.get(job.id) ?? 0;
+  const othersLose = total(withJob.losses) - ownLoss;
+  // What the others would lose anyway is not caused by this job.
+  const unavoidable =
+    othersLose > 0 ? total(lookAhead(candidate, state, candidate.jobs, undefined, withJob.passes).losses) : 0;
   const value = valueOf(job);
   const fill = Math.min(1, withJob.longestPassMs / Math.max(1, job.targetPauseMs));
   const isShort = withJob.longestPassMs < SHORT_PREFILL_SHARE * job.targetPauseMs;
@@ -177,14 +186,27 @@
     OCCUPANCY_COST * occupancy ** 3 +
     AFFINITY_COST * candidate.strangeness +
     DISTANCE_COST_PER_MS * candidate.roundTripMs;
+  const harm = othersLose - unavoidable + preference * value;
   return {
     server: candidate.server,
     firstEventMs: withJob.firstEventAtMs + candidate.roundTripMs - nowMs,
     longestPassMs: withJob.longestPassMs,
-    cost: total(withJob.losses) - total(without.losses) + preference * value,
+    cost: harm + ownLoss,
+    harm,
   };
 }
 
+/**
+ * Gives what a job loses if its first event comes at a time.
+ *
+ * @param job - the job
+ * @param firstEventAtMs - when the event reaches this entry
+ * @returns value that is expected to be lost
+ */
+export function lossOfStart(job: Job, firstEventAtMs: number): number {
+  return riskOf(firstEventAtMs - job.arrivedAtMs, job.targetMs) * LATE_LOSS * valueOf(job);
+}
+
 /**
  * Chooses the engine whose jobs, with the new one, lose least.
  *
--- a/packages/placement/src/load-book.ts
+++ b/packages/placement/src/load-book.ts
@@ -5,6 +5,7 @@
   type EngineParameters,
   type EngineState,
   idleEngine,
+  newRequest,
   observeTokens,
   removeRequest,
   slowEngine,
@@ -49,6 +50,8 @@
 /** Keeps the load of all servers. */
 export interface LoadBook {
   load(server: string): ServerLoad;
+  /** Gives the load of an engine, moved on to a time. */
+  loadAt(server: string, engine: EngineParameters, nowMs: number): ServerLoad;
   /** Notes that an entry has sent a job to a server. */
   placed(owner: string, server: string, engine: EngineParameters | undefined, job: Job, atMs: number): void;
   /** Notes an event of a job's answer. */
@@ -124,6 +127,14 @@
 
   return {
     load,
+    loadAt: (server, engine, nowMs) => {
+      const before = load(server);
+      const engineState = advanceEngine(slowEngine(engine, before.slowdown), before.engineState, nowMs);
+      if (engineState !== before.engineState) {
+        change(server, { engineState });
+      }
+      return load(server);
+    },
     placed: (owner, server, engine, job, atMs) => {
       const before = load(server);
       const jobs = new Map(before.jobs).set(job.id, { job, owner, isLate: false, hasStarted: false });
@@ -132,7 +143,7 @@
         return;
       }
       const state = advanceEngine(slowEngine(engine, before.slowdown), before.engineState, atMs);
-      change(server, { jobs, engineState: addRequest(state, job.id, job.generation) });
+      change(server, { jobs, engineState: addRequest(state, newRequest(job.id, job.generation)) });
     },
     observed: (server, engine, event) => {
       const before = load(server);
--- a/packages/placement/src/load-news.ts
+++ b/packages/placement/src/load-news.ts
@@ -38,6 +38,7 @@
   milliseconds,
   milliseconds,
   milliseconds,
+  z.number(),
 ]);
 const endedShape = z.tuple([z.literal(NewsKind.Ended), z.string(), z.string()]);
 const failedShape = z.tuple([z.literal(NewsKind.Failed), z.string()]);
@@ -67,6 +68,7 @@
         job.targetMs,
         job.targetPauseMs,
         Math.round(job.deadlineAtMs - nowMs),
+        job.generation?.wholeTokens ?? -1,
       ];
     }
     case NewsKind.Ended:
@@ -108,11 +110,15 @@
         targetMs,
         targetPauseMs,
         leftMs,
+        whole,
       ] = list;
       const job: Job = {
         id,
         service,
-        generation: promptTokens < 0 ? undefined : { promptTokens, answerTokens },
+        generation:
+          promptTokens < 0
+            ? undefined
+            : { promptTokens, answerTokens, wholeTokens: whole < 0 ? undefined : whole },
         rank,
         arrivedAtMs: nowMs - age,
         targetMs,
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -9,7 +9,8 @@
 } from '@toucanbend/registry';
 import murmurhash from 'murmurhash';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
-import { chooseEngine, type EngineCandidate, type EnginePrediction } from './engine-choice.js';
+import { chooseEngine, type EngineCandidate } from './engine-choice.js';
+import { chooseGroup } from './group-choice.js';
 import { type Job, valueOf } from './job.js';
 import { isEligible, type LoadBook } from './load-book.js';
 
@@ -29,11 +30,21 @@
   BeyondMemory = 'beyond_memory',
 }
 
+/** A server that prefills a part of a prompt. */
+export interface Helper {
+  readonly server: BackendServer;
+  readonly partTokens: number;
+  /** Whether memory is set aside there for the part; else the first server keeps the whole prompt. */
+  readonly keepsPart: boolean;
+}
+
 /** A decision about a request. */
 export type PlacementDecision =
   | {
       readonly kind: DecisionKind.Send;
       readonly server: BackendServer;
+      /** Servers that prefill parts of the prompt beside it. */
+      readonly helpers: readonly Helper[];
       readonly expectedMs: number;
       readonly cost: number;
     }
@@ -97,7 +108,7 @@
   if (!best.isFree && nowMs + best.answerMs > job.deadlineAtMs) {
     return refuse(RefusalReason.TooLate, best.answerMs);
   }
-  return { kind: DecisionKind.Send, server, expectedMs: best.answerMs, cost: 0 };
+  return { kind: DecisionKind.Send, server, helpers: [], expectedMs: best.answerMs, cost: 0 };
 }
 
 /** Expected loss, as a share of a job's own value, from which on a better place is waited for. */
@@ -113,15 +124,70 @@
  * Answers the load pattern of a burst of long prompts while every engine serves short ones: a long prompt has seconds
  * until its target, in which engines become free; placed at once it would break the pauses of all streams there.
  */
-function waitFor(engine: EngineParameters, job: Job, best: EnginePrediction, nowMs: number): number {
-  if (job.generation === undefined || best.cost < WAIT_COST * valueOf(job)) {
+function waitFor(job: Job, cost: number, aloneMs: number, nowMs: number): number {
+  if (job.generation === undefined || cost < WAIT_COST * valueOf(job)) {
     return 0;
   }
-  const aloneMs = prefillMs(engine, 0, job.generation.promptTokens);
   const slackMs = job.arrivedAtMs + job.targetMs * (1 - WAIT_RESERVE) - nowMs - aloneMs;
   return Math.min(slackMs, WAIT_STEP_MS);
 }
 
+/** Share of an engine's memory up to which a prompt and its answer are sent to one engine. */
+const SINGLE_MEMORY_SHARE = 0.97;
+
+function isBeyondMemory(engine: EngineParameters, job: Job): boolean {
+  const tokens = (job.generation?.promptTokens ?? 0) + (job.generation?.answerTokens ?? 0);
+  return tokens > SINGLE_MEMORY_SHARE * engine.memoryTokens;
+}
+
+function planGroup(
+  servers: readonly BackendServer[],
+  candidates: readonly EngineCandidate[],
+  job: Job,
+  nowMs: number,
+): PlacementDecision {
+  const group = chooseGroup(candidates, job, nowMs);
+  const server = servers.find((candidate) => candidate.id === group?.first);
+  if (group === undefined || server === undefined) {
+    const leftMs = job.arrivedAtMs + job.targetMs - nowMs;
+    return leftMs > 0
+      ? { kind: DecisionKind.Wait, waitMs: Math.min(leftMs, WAIT_STEP_MS), cost: valueOf(job) }
+      : refuse(RefusalReason.BeyondMemory, NO_SERVER_RETRY_MS);
+  }
+  const { partTokens, firstEventMs: expectedMs, cost } = group;
+  const waitMs = waitFor(job, cost, expectedMs, nowMs);
+  if (waitMs > 0) {
+    return { kind: DecisionKind.Wait, waitMs, cost };
+  }
+  const helpers = group.helpers.flatMap((id) => {
+    const helper = servers.find((candidate) => candidate.id === id);
+    return helper === undefined ? [] : [{ server: helper, partTokens, keepsPart: true }];
+  });
+  return { kind: DecisionKind.Send, server, helpers, expectedMs, cost };
+}
+
+function planSingle(
+  servers: readonly BackendServer[],
+  engine: EngineParameters,
+  candidates: readonly EngineCandidate[],
+  job: Job,
+  nowMs: number,
+): PlacementDecision {
+  const best = chooseEngine(candidates, job, nowMs);
+  const server = servers.find((candidate) => candidate.id === best?.server);
+  if (best === undefined || server === undefined) {
+    return refuse(RefusalReason.NoServer, NO_SERVER_RETRY_MS);
+  }
+  if (nowMs + best.firstEventMs > job.deadlineAtMs) {
+    return refuse(RefusalReason.TooLate, best.firstEventMs);
+  }
+  const aloneMs = prefillMs(engine, 0, job.generation?.promptTokens ?? 0);
+  const waitMs = waitFor(job, best.cost, aloneMs, nowMs);
+  return waitMs > 0
+    ? { kind: DecisionKind.Wait, waitMs, cost: best.cost }
+    : { kind: DecisionKind.Send, server, helpers: [], expectedMs: best.firstEventMs, cost: best.cost };
+}
+
 function planGeneration(
   servers: readonly BackendServer[],
   service: Service,
@@ -133,11 +199,8 @@
   if (engine === undefined) {
     return planCall(servers, job, inputs, nowMs);
   }
-  if (job.generation !== undefined && job.generation.promptTokens > engine.memoryTokens) {
-    return refuse(RefusalReason.BeyondMemory, NO_SERVER_RETRY_MS);
-  }
   const candidates = servers.map((server): EngineCandidate => {
-    const load = inputs.book.load(server.id);
+    const load = inputs.book.loadAt(server.id, engine, nowMs);
     return {
       server: server.id,
       engine: slowEngine(engine, load.slowdown),
@@ -147,18 +210,9 @@
       roundTripMs: roundTripMs(server, inputs.settings),
     };
   });
-  const best = chooseEngine(candidates, job, nowMs);
-  const server = servers.find((candidate) => candidate.id === best?.server);
-  if (best === undefined || server === undefined) {
-    return refuse(RefusalReason.NoServer, NO_SERVER_RETRY_MS);
-  }
-  if (nowMs + best.firstEventMs > job.deadlineAtMs) {
-    return refuse(RefusalReason.TooLate, best.firstEventMs);
-  }
-  const waitMs = waitFor(engine, job, best, nowMs);
-  return waitMs > 0
-    ? { kind: DecisionKind.Wait, waitMs, cost: best.cost }
-    : { kind: DecisionKind.Send, server, expectedMs: best.firstEventMs, cost: best.cost };
+  return isBeyondMemory(engine, job)
+    ? planGroup(servers, candidates, job, nowMs)
+    : planSingle(servers, engine, candidates, job, nowMs);
 }
 
 /**
