A silent server is left only for a place that serves soon; unframed answers are passed on unframed

Change: on silence the process looks for a better place and stays where it is while there is none; answers without framing go on without framing, ended by the connection.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -19,6 +19,8 @@
   readonly status: number;
   /** Headers that are passed on. */
   readonly headers: RawHeaders;
+  /** Whether the answer says where it ends; else only the end of its connection does. */
+  readonly isFramed: boolean;
 }
 
 /** What an attempt reports, in the order in which it happens. */
@@ -61,6 +63,9 @@
   cancel(): void;
 }
 
+/** Statuses whose answers have no body (RFC 9112, section 6.3). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 function methodHasBody(options: AttemptOptions): boolean {
   return options.body.length > 0 || options.method === 'POST' || options.method === 'PUT';
 }
@@ -68,7 +73,12 @@
 function readStart(options: AttemptOptions, message: IncomingMessage): AnswerStart {
   const status = message.statusCode ?? 0;
   const head = options.dialect.readAnswer(status, message.headers);
-  return { ...head, status, headers: endToEndHeaders(message.rawHeaders, message.headers) };
+  const { headers, rawHeaders } = message;
+  const isFramed =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined ||
+    BODILESS_STATUSES.has(status);
+  return { ...head, status, headers: endToEndHeaders(rawHeaders, headers), isFramed };
 }
 
 /** Reports on one attempt: what comes after its end is dropped. */
--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -56,17 +56,29 @@
   return end.reason === EndReason.DeadlinePassed ? 504 : 502;
 }
 
+/** Status and headers of an answer that is passed on. */
+export interface AnswerHeadLine {
+  readonly status: number;
+  readonly headers: RawHeaders;
+  readonly isFramed: boolean;
+}
+
 /** The answer to one request of a caller. */
 export interface CallerAnswer {
   /** Whether a head was sent. */
   hasBegun(): boolean;
-  /** Sends a head; its body follows. */
-  begin(status: number, headers: RawHeaders): void;
+  /**
+   * Sends a head; its body follows.
+   *
+   * @param head - status and headers; an answer that was not framed is passed on without framing, since nobody can
+   *   tell whether it is whole
+   */
+  begin(head: AnswerHeadLine): void;
   write(bytes: Buffer): void;
   /** Ends an answer that is whole. */
   end(): void;
-  /** Sends a whole answer at once. */
-  send(status: number, headers: RawHeaders, body: Buffer): void;
+  /** Sends an answer at once. */
+  send(head: AnswerHeadLine, body: Buffer): void;
   /** Answers without a server's answer; an answer that has begun is broken off instead. */
   fail(end: RequestEnd): void;
 }
@@ -83,10 +95,18 @@
     const closing = isLeaving() ? { Connection: 'close' } : {};
     response.writeHead(status, { ...headersByName(headers), ...extra, ...closing });
   };
+  const dropFraming = (head: AnswerHeadLine): void => {
+    if (!head.isFramed) {
+      response.shouldKeepAlive = false;
+      response.removeHeader('Content-Length');
+      response.removeHeader('Transfer-Encoding');
+    }
+  };
   return {
     hasBegun: () => response.headersSent,
-    begin: (status, headers) => {
-      writeHead(status, headers, {});
+    begin: (head) => {
+      dropFraming(head);
+      writeHead(head.status, head.headers, {});
     },
     write: (bytes) => {
       response.write(bytes);
@@ -94,8 +114,10 @@
     end: () => {
       response.end();
     },
-    send: (status, headers, body) => {
-      writeHead(status, headers, { 'Content-Length': String(body.length) });
+    send: (head, body) => {
+      dropFraming(head);
+      const length = head.isFramed ? { 'Content-Length': String(body.length) } : {};
+      writeHead(head.status, head.headers, length);
       response.end(body);
     },
     fail: (end) => {
--- a/packages/forwarding/src/follower.ts
+++ b/packages/forwarding/src/follower.ts
@@ -96,7 +96,7 @@
       this.kept = { start, body };
       return { failure: AttemptFailure.InDoubt, detail: `status ${String(start.status)}` };
     }
-    this.#answer.send(start.status, start.headers, body);
+    this.#answer.send(start, body);
     return answered;
   }
 }
@@ -180,7 +180,7 @@
 
   #begin(): void {
     if (!this.#answer.hasBegun() && this.#start !== undefined) {
-      this.#answer.begin(this.#start.status, this.#start.headers);
+      this.#answer.begin(this.#start);
     }
   }
 
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -55,6 +55,10 @@
 const PAUSE_TOLERANCE = 4;
 /** Least silence of a stream that is acted on, in milliseconds: engines stall for longer than a pause at times. */
 const LEAST_SILENCE_MS = 1_200;
+/** Time between two looks for a better place while a server is silent, in milliseconds. */
+const SILENCE_STEP_MS = 250;
+/** How many times its target a moved request may take to its next event: a later one is not worth the move. */
+const SOON_TARGETS = 2;
 /** When a caller may try again after attempts that did not run, in milliseconds. */
 const RETRY_AFTER_FAILURE_MS = 250;
 
@@ -272,10 +276,11 @@
         ? new StreamFollower(this.#context, this.#answer, server, this.#lastEventId)
         : new WholeFollower(this.#context, this.#answer, server, sentAtMs);
     let heardAtMs = sentAtMs;
+    let lookAtMs = 0;
     for (;;) {
       const { clock } = this.#context;
-      const patienceMs = this.#silenceMs(follower.hasStarted) - (clock.now() - heardAtMs);
-      const waitMs = Math.min(this.#timeLeftMs(), patienceMs);
+      const silentAtMs = Math.max(lookAtMs, heardAtMs + this.#silenceMs(follower.hasStarted));
+      const waitMs = Math.min(this.#timeLeftMs(), silentAtMs - clock.now());
       const received = yield* receiveWithin(this.#inbox, clock, Math.max(0, waitMs));
       if (received.timedOut) {
         if (this.#timeLeftMs() <= 0) {
@@ -283,9 +288,14 @@
           this.#history = recordAttempt(this.#history, failure);
           return { failure: undefined, end: this.#giveUp(EndReason.DeadlinePassed, 0) };
         }
-        return attempt.isSent()
-          ? { failure: AttemptFailure.InDoubt, detail: 'silent for too long' }
-          : { failure: AttemptFailure.NotSent, detail: 'no connection in time' };
+        if (!attempt.isSent()) {
+          return { failure: AttemptFailure.NotSent, detail: 'no connection in time' };
+        }
+        if (this.#hasBetterPlace()) {
+          return { failure: AttemptFailure.InDoubt, detail: 'silent for too long' };
+        }
+        lookAtMs = clock.now() + SILENCE_STEP_MS;
+        continue;
       }
       const message = received.value;
       if (message.type === ForwardMessageType.CallerGone) {
@@ -342,6 +352,22 @@
     book.observed(server.id, engine, { jobId: this.#job.id, tokens, pauseMs, atMs, wayMs });
   }
 
+  /** Tells whether a request whose server is silent would soon be served by another one. */
+  #hasBetterPlace(): boolean {
+    const { registry, book, planner, clock, retries, entryCount } = this.#context;
+    const { route, service } = this.#request;
+    const history = recordAttempt(this.#history, AttemptFailure.InDoubt);
+    if (!mayFollow(route.repeat, history, route.attempts)) {
+      return false;
+    }
+    const inputs = { registry: registry(), book, settings: planner };
+    const decision = planJob(this.#job, service, this.#tried, inputs, clock.now());
+    const isSoon =
+      decision.kind === DecisionKind.Send &&
+      decision.expectedMs < Math.min(SOON_TARGETS * route.targetMs, this.#timeLeftMs());
+    return isSoon && retries.canSpend(service.name, entryCount(), clock.now());
+  }
+
   /** How long a server may be silent before another one is tried; Infinity where none may be. */
   #silenceMs(hasStarted: boolean): number {
     const { route } = this.#request;
@@ -365,7 +391,7 @@
   /** Ends a request for which no whole answer came. */
   #giveUp(reason: EndReason, retryAfterMs: number): RequestEnd {
     if (this.#kept !== undefined && !this.#answer.hasBegun()) {
-      this.#answer.send(this.#kept.start.status, this.#kept.start.headers, this.#kept.body);
+      this.#answer.send(this.#kept.start, this.#kept.body);
       return this.#end(Outcome.Complete, EndReason.Answered, 0);
     }
     const outcome = this.#answer.hasBegun() ? Outcome.Unknown : outcomeOf(this.#history);
--- a/packages/placement/src/retry-window.ts
+++ b/packages/placement/src/retry-window.ts
@@ -17,6 +17,15 @@
 export interface RetryWindow {
   /** Counts a request of a caller. */
   request(service: string, nowMs: number): void;
+  /**
+   * Tells whether a repeat would be allowed now.
+   *
+   * @param service - service that would get the repeat
+   * @param entries - how many entries share the allowance
+   * @param nowMs - now
+   * @returns whether the budget has room for it
+   */
+  canSpend(service: string, entries: number, nowMs: number): boolean;
   /**
    * Takes one repeat out of the budget.
    *
@@ -59,18 +68,21 @@
     dropOld(counts.repeats, nowMs - bound.windowMs);
     return counts;
   };
+  const canSpend = (service: string, entries: number, nowMs: number): boolean => {
+    const { requests, repeats } = countsOf(service, nowMs);
+    const allowance = bound.allowance / Math.max(1, entries);
+    return repeats.length + 1 <= USED_SHARE * (bound.ratio * requests.length + allowance);
+  };
   return {
     request: (service, nowMs) => {
       countsOf(service, nowMs).requests.push(nowMs);
     },
+    canSpend,
     trySpend: (service, entries, nowMs) => {
-      const counts = countsOf(service, nowMs);
-      const limit =
-        USED_SHARE * (bound.ratio * counts.requests.length + bound.allowance / Math.max(1, entries));
-      if (counts.repeats.length + 1 > limit) {
+      if (!canSpend(service, entries, nowMs)) {
         return false;
       }
-      counts.repeats.push(nowMs);
+      countsOf(service, nowMs).repeats.push(nowMs);
       return true;
     },
   };
