Short prompts gather where short prompts run

Change: the cost of opening an engine for a short prompt applies to every engine without others of its kind, not only to idle ones.

--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -61,8 +61,11 @@
 const RISK_ENDS_AT = 1.15;
 /** Share of its value that a job loses when it comes late. */
 const LATE_LOSS = 0.8;
-/** Cost of starting a short prompt on an idle engine, which the next long prompt would need, as a share of value. */
-const IDLE_ENGINE_COST = 0.12;
+/**
+ * Cost of a short prompt on an engine without others of its kind, which the next long prompt would need, as a share of
+ * value.
+ */
+const UNLIKE_ENGINE_COST = 0.15;
 /** Prompts whose prefill takes less than this share of their pause limit count as short. */
 const SHORT_PREFILL_SHARE = 0.5;
 /** Weight of how full a pass is, which spreads equal work over equal engines. */
@@ -151,6 +154,16 @@
   return sum;
 }
 
+/** Tells whether jobs run at an engine that accept no longer pauses than a job does. */
+function hasAlike(candidate: EngineCandidate, job: Job): boolean {
+  for (const placed of candidate.jobs.values()) {
+    if (placed.job.targetPauseMs <= job.targetPauseMs) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /**
  * Predicts what a placement brings.
  *
@@ -181,7 +194,7 @@
   const isShort = withJob.longestPassMs < SHORT_PREFILL_SHARE * job.targetPauseMs;
   const occupancy = (state.requests.length + 1) / Math.max(1, engine.slots);
   const preference =
-    (state.requests.length === 0 && isShort ? IDLE_ENGINE_COST : 0) +
+    (isShort && !hasAlike(candidate, job) ? UNLIKE_ENGINE_COST : 0) +
     FILL_COST * fill * fill +
     OCCUPANCY_COST * occupancy ** 3 +
     AFFINITY_COST * candidate.strangeness +
