--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -1,5 +1,6 @@
 /** The port for callers: it reads requests, checks them against the catalogue and starts their processes. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type AddressInfo } from 'node:net';
 import { startProcess } from '@toucanbend/channel';
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind } from '@toucanbend/observability';
@@ -14,7 +15,14 @@
 
 /** The port for callers. */
 export interface CallerPort {
-  listen(host: string, port: number): Promise<void>;
+  /**
+   * Starts listening.
+   *
+   * @param host - address to listen on
+   * @param port - port to listen on; 0 for any free one
+   * @returns the port
+   */
+  listen(host: string, port: number): Promise<number>;
   /** Requests that are read or in flight. */
   inFlight(): number;
   /** Takes over limits of the catalogue in force. */
@@ -221,11 +229,11 @@
   }
 }
 
-function listen(server: Server, host: string, port: number): Promise<void> {
+function listen(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
-      resolve();
+      resolve((server.address() as AddressInfo).port);
     });
   });
 }
--- /dev/null
+++ b/packages/forwarding/test/support/gateway.ts
@@ -0,0 +1,190 @@
+/** A port for callers with a dialect of the tests, before scripted servers. */
+import { createManualClock, createRandom, createSystemClock, type ManualClock } from '@toucanbend/core';
+import {
+  type CallerPort,
+  createCallerPort,
+  createForwardingMetrics,
+  type Dialect,
+  type EngineMemory,
+  type ForwardingContext,
+} from '@toucanbend/forwarding';
+import { type DecisionLine, type Logger } from '@toucanbend/observability';
+import { createLoadBook, createRetryWindow } from '@toucanbend/placement';
+import {
+  AnswerForm,
+  type Catalogue,
+  emptyRegistry,
+  mergeRecords,
+  RecordKind,
+  type Registry,
+  type RegistryRecord,
+  RepeatPolicy,
+  type Route,
+  ServerState,
+} from '@toucanbend/registry';
+import { ok } from 'neverthrow';
+import { Registry as MetricsRegistry } from 'prom-client';
+
+const REPLACED = new Set(['key', 'patience', 'account', 'for-server']);
+
+/** A dialect with plain names. */
+export const testDialect: Dialect = {
+  readCaller: (headers) => ({
+    requestId: String(headers['request-id'] ?? ''),
+    key: headers.key === undefined ? undefined : String(headers.key),
+    patienceMs: headers.patience === undefined ? undefined : Number(headers.patience),
+    lastEventId: headers['last-event-id'] === undefined ? undefined : Number(headers['last-event-id']),
+    prompt: undefined,
+  }),
+  writeAttempt: (callerHeaders, attempt) => {
+    const written: string[] = [];
+    for (let index = 0; index + 1 < callerHeaders.length; index += 2) {
+      const name = callerHeaders[index] ?? '';
+      if (!REPLACED.has(name.toLowerCase())) {
+        written.push(name, callerHeaders[index + 1] ?? '');
+      }
+    }
+    written.push('for-server', attempt.serverId, 'time-left', String(Math.floor(attempt.timeLeftMs)));
+    if (attempt.account !== undefined) {
+      written.push('account', attempt.account);
+    }
+    if (attempt.lastEventId !== undefined) {
+      written.push('last-event-id', String(attempt.lastEventId));
+    }
+    return written;
+  },
+  readAnswer: (_status, headers) => ({
+    requestId: headers['request-id'] === undefined ? undefined : String(headers['request-id']),
+    isSigned: headers.signature !== undefined,
+    isNotRun: headers['not-run'] !== undefined,
+  }),
+};
+
+/** Path of a route for each policy. */
+export const paths = {
+  once: '/once/',
+  repeatable: '/repeatable/',
+  stream: '/stream/',
+} as const;
+
+function route(name: string, repeat: RepeatPolicy, form: AnswerForm): Route {
+  return {
+    name,
+    host: 'vanes.example',
+    pathPrefix: `/${name}/`,
+    targets: [{ service: 'vanes', weight: 1 }],
+    repeat,
+    form,
+    timeoutMs: 4_000,
+    targetMs: 300,
+    targetPauseMs: 250,
+    rank: 0,
+    attempts: 2,
+    isPublic: false,
+  };
+}
+
+/** The catalogue of the tests. */
+export const catalogue: Catalogue = {
+  version: 3,
+  routes: [
+    route('once', RepeatPolicy.Once, AnswerForm.Whole),
+    route('repeatable', RepeatPolicy.Repeatable, AnswerForm.Whole),
+    route('stream', RepeatPolicy.Resumable, AnswerForm.EventStream),
+  ],
+  services: [{ name: 'vanes', maxConnections: 10, engine: undefined }],
+  accounts: [{ name: 'workshop', keys: ['key-1'], rank: undefined }],
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+};
+
+function serverRecord(id: string, port: number): RegistryRecord {
+  const value = {
+    id,
+    service: 'vanes',
+    host: '127.0.0.1',
+    port,
+    dataCentre: 'bagmati-a',
+    slots: 4,
+    state: ServerState.Ready,
+    bornAtMs: 0,
+  };
+  return { kind: RecordKind.Server, id, revision: 1, value };
+}
+
+/** A running port and what it has logged. */
+export interface TestGateway {
+  readonly port: number;
+  readonly clock: ManualClock;
+  readonly lines: DecisionLine[];
+  readonly callerPort: CallerPort;
+  setLeaving(): void;
+  close(): void;
+}
+
+const noMemory: EngineMemory = {
+  reserve: () => Promise.resolve(ok()),
+  release: () => Promise.resolve(ok()),
+};
+
+function createRecordingLogger(lines: DecisionLine[]): Logger {
+  const ignore = (): void => undefined;
+  return {
+    decision: (line) => lines.push(line),
+    info: ignore,
+    warn: ignore,
+    error: ignore,
+    explain: () => [],
+  };
+}
+
+/**
+ * Starts a port for callers before servers.
+ *
+ * @param ports - ports of the servers, in order of preference while all are idle
+ * @param known - the catalogue; null where none is known yet
+ * @param useManualClock - whether time stands still unless a test moves it
+ * @returns the port, once it listens
+ */
+export async function startTestGateway(
+  ports: readonly number[],
+  known: Catalogue | null = catalogue,
+  useManualClock = false,
+): Promise<TestGateway> {
+  const lines: DecisionLine[] = [];
+  const clock = createManualClock();
+  let isLeaving = false;
+  const records: RegistryRecord[] = ports.map((port, index) => serverRecord(`s${String(index)}`, port));
+  if (known !== null) {
+    records.push({ kind: RecordKind.Catalogue, id: '', revision: 1, value: known });
+  }
+  const registry: Registry = mergeRecords(emptyRegistry, records, {});
+  const context: ForwardingContext = {
+    clock: useManualClock ? clock : createSystemClock(),
+    random: createRandom(1),
+    logger: createRecordingLogger(lines),
+    metrics: createForwardingMetrics(new MetricsRegistry()),
+    dialect: testDialect,
+    planner: { entry: 'entry-1', dataCentre: 'bagmati-a', crossRoundTripMs: 7 },
+    book: createLoadBook(),
+    retries: createRetryWindow({ ratio: 0.2, allowance: 100, windowMs: 10_000 }),
+    memory: noMemory,
+    registry: () => registry,
+    entryCount: () => 1,
+    isLeaving: () => isLeaving,
+    tell: () => undefined,
+  };
+  const callerPort = createCallerPort(context);
+  const port = await callerPort.listen('127.0.0.1', 0);
+  return {
+    port,
+    clock,
+    lines,
+    callerPort,
+    setLeaving: () => {
+      isLeaving = true;
+    },
+    close: () => {
+      callerPort.close();
+    },
+  };
+}
