--- /dev/null
+++ b/packages/membership/test/membership.test.ts
@@ -0,0 +1,214 @@
+/** Following the store through outages, lost history and lapsed registrations. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock, createRandom, type ManualClock } from '@toucanbend/core';
+import {
+  createFollower,
+  createLapseGuard,
+  createRegistrar,
+  createRegistryHolder,
+} from '@toucanbend/membership';
+import { type Logger } from '@toucanbend/observability';
+import {
+  type BackendServer,
+  listServers,
+  type RecordBatch,
+  RecordKind,
+  type RegistryRecord,
+  type RegistrySource,
+  ServerState,
+  type SourceError,
+  SourceErrorKind,
+} from '@toucanbend/registry';
+import { err, ok, type Result } from 'neverthrow';
+
+const ignore = (): void => undefined;
+const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
+const pace = { waitMs: 1_000, intervalMs: 500 };
+
+function server(id: string, revision: number): RegistryRecord {
+  const value: BackendServer = {
+    id,
+    service: 'vanes',
+    host: '10.0.0.1',
+    port: 80,
+    dataCentre: 'bagmati-a',
+    slots: 4,
+    state: ServerState.Ready,
+    bornAtMs: 0,
+  };
+  return { kind: RecordKind.Server, id, revision, value };
+}
+
+const gone = (id: string, revision: number): RegistryRecord => ({ kind: RecordKind.Server, id, revision });
+const unreachable: SourceError = { kind: SourceErrorKind.Unreachable, message: 'no answer' };
+const historyLost: SourceError = { kind: SourceErrorKind.HistoryLost, message: 'status 410' };
+
+type Answer = Result<RecordBatch, SourceError>;
+const batch = (revision: number, ...records: readonly RegistryRecord[]): Answer => ok({ records, revision });
+
+/** A store whose answers about servers are scripted; it has nothing else. */
+class ScriptedSource implements RegistrySource {
+  readonly calls: string[] = [];
+  readonly #answers: Answer[];
+
+  constructor(answers: readonly Answer[]) {
+    this.#answers = [...answers];
+  }
+
+  list(kind: RecordKind): Promise<Answer> {
+    return this.#answer(kind, 'list');
+  }
+
+  watch(kind: RecordKind, revision: number): Promise<Answer> {
+    return this.#answer(kind, `watch ${String(revision)}`);
+  }
+
+  /** Replaced by tests of the registration. */
+  register: RegistrySource['register'] = () => Promise.resolve(err(unreachable));
+  renew: RegistrySource['renew'] = () => Promise.resolve(ok());
+
+  release(): ReturnType<RegistrySource['release']> {
+    return Promise.resolve(ok());
+  }
+
+  #answer(kind: RecordKind, call: string): Promise<Answer> {
+    if (kind !== RecordKind.Server) {
+      return Promise.resolve(batch(1));
+    }
+    this.calls.push(call);
+    return Promise.resolve(this.#answers.shift() ?? batch(0));
+  }
+}
+
+interface Followed {
+  readonly source: ScriptedSource;
+  readonly clock: ManualClock;
+  ids(): string[];
+  /** Moves time on in steps, and lets what is due happen. */
+  pass(ms: number): Promise<void>;
+}
+
+const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+async function follow(...answers: readonly Answer[]): Promise<Followed> {
+  const source = new ScriptedSource(answers);
+  const clock = createManualClock();
+  const holder = createRegistryHolder();
+  const paces = {
+    [RecordKind.Catalogue]: pace,
+    [RecordKind.Server]: pace,
+    [RecordKind.Entry]: pace,
+  };
+  const follower = createFollower({ source, holder, clock, random: createRandom(1), logger, paces });
+  follower.start();
+  await settle();
+  return {
+    source,
+    clock,
+    ids: () =>
+      listServers(holder.current())
+        .map((known) => known.id)
+        .sort(),
+    pass: async (ms) => {
+      for (let passed = 0; passed < ms; passed += 100) {
+        clock.advance(100);
+        await settle();
+      }
+    },
+  };
+}
+
+describe('following the store', () => {
+  it('lists once and watches from there, no faster than its pace', async () => {
+    const followed = await follow(batch(10, server('s1', 9)), batch(12, server('s2', 12)));
+    await followed.pass(400);
+    assert.deepEqual(followed.source.calls, ['list']);
+    await followed.pass(100);
+    assert.deepEqual(followed.source.calls, ['list', 'watch 10']);
+    assert.deepEqual(followed.ids(), ['s1', 's2']);
+  });
+
+  it('lists again where the history is lost, and drops what is gone', async () => {
+    const followed = await follow(
+      batch(10, server('s1', 8), server('s2', 9)),
+      err(historyLost),
+      batch(40, server('s2', 9), server('s3', 35)),
+    );
+    await followed.pass(1_000);
+    assert.deepEqual(followed.ids(), ['s2', 's3']);
+  });
+
+  it('keeps what it knows while the store is away, and goes on where it was', async () => {
+    const followed = await follow(batch(10, server('s1', 9)), err(unreachable), err(unreachable));
+    await followed.pass(3_000);
+    assert.deepEqual(followed.ids(), ['s1']);
+    assert.equal(followed.source.calls.at(-1), 'watch 10');
+  });
+
+  it('holds removals back after an outage until living servers have registered again', async () => {
+    const outage = Array.from({ length: 8 }, () => err(unreachable));
+    const lapsed = batch(30, gone('s1', 25), gone('s2', 26));
+    const followed = await follow(
+      batch(10, server('s1', 8), server('s2', 9)),
+      ...outage,
+      lapsed,
+      batch(31, server('s1', 31)),
+    );
+    await followed.pass(6_500);
+    assert.equal(followed.source.calls.at(-1)?.startsWith('watch'), true);
+    assert.deepEqual(followed.ids(), ['s1', 's2']);
+    await followed.pass(3_000);
+    assert.deepEqual(followed.ids(), ['s1']);
+  });
+
+  it('takes a removal at once while the store is well', async () => {
+    const followed = await follow(batch(10, server('s1', 8)), batch(12, gone('s1', 12)));
+    await followed.pass(500);
+    assert.deepEqual(followed.ids(), []);
+  });
+});
+
+describe('the guard against lapsed registrations', () => {
+  it('holds nothing after a short silence', () => {
+    const guard = createLapseGuard();
+    guard.noteOutage(500, 1_000);
+    assert.deepEqual(guard.hold([gone('s1', 5)], 1_100), [gone('s1', 5)]);
+  });
+
+  it('gives a held removal up where the server is back', () => {
+    const guard = createLapseGuard();
+    guard.noteOutage(5_000, 1_000);
+    assert.deepEqual(guard.hold([gone('s1', 5)], 1_100), []);
+    guard.hold([server('s1', 6)], 1_200);
+    assert.deepEqual(guard.release(9_000), []);
+  });
+});
+
+describe('the registration of an entry', () => {
+  it('is renewed, and made anew once it has lapsed', async () => {
+    const clock = createManualClock();
+    const calls: string[] = [];
+    const source = new ScriptedSource([]);
+    source.register = () => {
+      calls.push('register');
+      return Promise.resolve(ok(`lease-${String(calls.length)}`));
+    };
+    let isLapsed = false;
+    source.renew = (lease) => {
+      calls.push(`renew ${lease}`);
+      return Promise.resolve(isLapsed ? err({ kind: SourceErrorKind.LeaseEnded, message: '404' }) : ok());
+    };
+    const member = { name: 'entry-1', address: '10.0.0.1:1', dataCentre: 'bagmati-a' };
+    createRegistrar(member, source, clock, logger).start();
+    await settle();
+    clock.advance(3_000);
+    await settle();
+    isLapsed = true;
+    clock.advance(3_000);
+    await settle();
+    clock.advance(0);
+    await settle();
+    assert.deepEqual(calls, ['register', 'renew lease-1', 'renew lease-1', 'register']);
+  });
+});
