Work near the end of a process is placed or refused at once; restarted entries spread until they hear one another

Change: after the balancer has noticed, what still comes is refused as not run with a time to come back; a leaving entry waits for nothing; entries that do not hear all others go to the emptiest engines; a peer that dials is dialled back at once; the cost of an engine's last slots is steeper.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -39,6 +39,14 @@
 /** When a caller may try again at an entry without configuration: about the time in which one is read. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 
+/** When a caller may try again at another entry. */
+const LEAVING_RETRY_MS = 20;
+
+const retryAfter: Partial<Record<EndReason, number>> = {
+  [EndReason.NoConfiguration]: NO_CONFIGURATION_RETRY_MS,
+  [EndReason.Leaving]: LEAVING_RETRY_MS,
+};
+
 /** What a request is entitled to, or why it is rejected. */
 type Admission =
   | { readonly rejected: EndReason }
@@ -157,6 +165,10 @@
       response.once('finish', () => message.destroy());
       return;
     }
+    if (!this.#context.takesRequests()) {
+      this.#reject(head, answer, EndReason.Leaving);
+      return;
+    }
     const path = message.url ?? '/';
     const admission = admitRequest(
       this.#context.registry().catalogue,
@@ -208,8 +220,7 @@
   }
 
   #reject(head: CallerHead, answer: CallerAnswer, reason: EndReason): void {
-    const retryAfterMs = reason === EndReason.NoConfiguration ? NO_CONFIGURATION_RETRY_MS : 0;
-    const end = { outcome: Outcome.NotRun, reason, retryAfterMs };
+    const end = { outcome: Outcome.NotRun, reason, retryAfterMs: retryAfter[reason] ?? 0 };
     answer.fail(end);
     this.#record(head, -1, end);
   }
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -23,6 +23,10 @@
   /** How many entries share the budget for repeats. */
   readonly entryCount: () => number;
   readonly isLeaving: () => boolean;
+  /** Whether further requests are taken; those that still come on kept connections are refused. */
+  readonly takesRequests: () => boolean;
+  /** Whether other entries place work that this one does not hear of. */
+  readonly isBlind: () => boolean;
   /** Tells the other entries what was placed and what has ended. */
   readonly tell: (news: LoadNews) => void;
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -9,6 +9,7 @@
   NewsKind,
   planJob,
   type PlacementDecision,
+  type PlannerInputs,
   RefusalReason,
   sharesOf,
 } from '@toucanbend/placement';
@@ -144,10 +145,15 @@
     return false;
   }
 
+  #inputs(mayWait: boolean): PlannerInputs {
+    const { registry, book, planner: settings, isBlind } = this.#context;
+    return { registry: registry(), book, settings, mayWait, isBlind: isBlind() };
+  }
+
   #plan(): PlacementDecision {
-    const { registry, book, planner, clock } = this.#context;
-    const inputs = { registry: registry(), book, settings: planner };
-    const decision = planJob(this.#job, this.#request.service, this.#tried, inputs, clock.now());
+    const inputs = this.#inputs(!this.#context.isLeaving());
+    const { service } = this.#request;
+    const decision = planJob(this.#job, service, this.#tried, inputs, this.#context.clock.now());
     this.#logPlan(decision, inputs.registry);
     return decision;
   }
@@ -354,14 +360,13 @@
 
   /** Tells whether a request whose server is silent would soon be served by another one. */
   #hasBetterPlace(): boolean {
-    const { registry, book, planner, clock, retries, entryCount } = this.#context;
+    const { clock, retries, entryCount } = this.#context;
     const { route, service } = this.#request;
     const history = recordAttempt(this.#history, AttemptFailure.InDoubt);
     if (!mayFollow(route.repeat, history, route.attempts)) {
       return false;
     }
-    const inputs = { registry: registry(), book, settings: planner };
-    const decision = planJob(this.#job, service, this.#tried, inputs, clock.now());
+    const decision = planJob(this.#job, service, this.#tried, this.#inputs(false), clock.now());
     const isSoon =
       decision.kind === DecisionKind.Send &&
       decision.expectedMs < Math.min(SOON_TARGETS * route.targetMs, this.#timeLeftMs());
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -153,6 +153,19 @@
   });
 });
 
+describe('an entry that is about to end', () => {
+  it('refuses what still comes on kept connections, truly not run, with a time to come back', async () => {
+    const fleet = await startFleet(well);
+    fleet.gateway.setLeaving();
+    fleet.gateway.refuseRequests();
+    const answer = await fleet.call(paths.once);
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.equal(answer.headers.connection, 'close');
+    assert.equal(totalReceived(fleet), 0);
+  });
+});
+
 describe('requests that may run at most once', () => {
   it('go to another server after one that did not run them', async () => {
     const fleet = await startWithBadFirst(full);
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -118,6 +118,7 @@
   readonly lines: DecisionLine[];
   readonly callerPort: CallerPort;
   setLeaving(): void;
+  refuseRequests(): void;
   close(): void;
 }
 
@@ -153,6 +154,7 @@
   const lines: DecisionLine[] = [];
   const clock = createManualClock();
   let isLeaving = false;
+  let takesRequests = true;
   const records: RegistryRecord[] = ports.map((port, index) => serverRecord(`s${String(index)}`, port));
   if (known !== null) {
     records.push({ kind: RecordKind.Catalogue, id: '', revision: 1, value: known });
@@ -171,6 +173,8 @@
     registry: () => registry,
     entryCount: () => 1,
     isLeaving: () => isLeaving,
+    takesRequests: () => takesRequests,
+    isBlind: () => false,
     tell: () => undefined,
   };
   const callerPort = createCallerPort(context);
@@ -180,6 +184,9 @@
     clock,
     lines,
     callerPort,
+    refuseRequests: () => {
+      takesRequests = false;
+    },
     setLeaving: () => {
       isLeaving = true;
     },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,6 +127,7 @@
   const book = createLoadBook();
   const random = createRandom(options.seed);
   let isLeaving = false;
+  let isClosed = false;
   const engineOf = (name: string): EngineParameters | undefined =>
     holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
   const peers = createPeers({
@@ -156,6 +157,8 @@
     registry: holder.current,
     entryCount: () => Math.max(1, listEntries(holder.current()).length),
     isLeaving: () => isLeaving,
+    takesRequests: () => !isClosed,
+    isBlind: () => peers.linkCount() < listEntries(holder.current()).length - 1,
     tell: peers.tell.bind(peers),
   };
   const port = createCallerPort(context);
@@ -201,7 +204,6 @@
         const startedAtMs = clock.now();
         logger.info('leaving', { inFlight: port.inFlight() });
         registrar.stop();
-        let isClosed = false;
         const check = (): void => {
           const elapsedMs = clock.now() - startedAtMs;
           if (elapsedMs >= NOTICE_MS && !isClosed) {
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -143,7 +143,16 @@
   }
 
   #dialAll(): void {
-    const { holder, member, seeds, clock } = this.#options;
+    this.#dialMissing();
+    if (!this.#isStopped) {
+      this.#cancelDial = this.#options.clock.after(DIAL_INTERVAL_MS, () => {
+        this.#dialAll();
+      });
+    }
+  }
+
+  #dialMissing(): void {
+    const { holder, member, seeds } = this.#options;
     const known = listEntries(holder.current()).map((entry) => entry.address);
     const addresses = new Set([...known, ...seeds]);
     addresses.delete(member.address);
@@ -152,11 +161,6 @@
         void this.#pool.get(address);
       }
     }
-    if (!this.#isStopped) {
-      this.#cancelDial = clock.after(DIAL_INTERVAL_MS, () => {
-        this.#dialAll();
-      });
-    }
   }
 
   #adoptDialled(link: Link): void {
@@ -181,6 +185,8 @@
   #adoptAccepted(link: Link): void {
     link.setActive(true);
     this.#serve(link);
+    // A peer that has just come up is dialled at once, not at the next look.
+    this.#dialMissing();
   }
 
   #serve(link: Link): void {
--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -36,6 +36,8 @@
   readonly roundTripMs: number;
   /** From 0 to 1: how little this entry prefers the server to others that are as good. */
   readonly strangeness: number;
+  /** Whether other entries place work there that this one does not hear of. */
+  readonly isBlind: boolean;
 }
 
 /** What is expected of a placement. */
@@ -71,9 +73,15 @@
 /** Weight of how full a pass is, which spreads equal work over equal engines. */
 const FILL_COST = 0.02;
 /** Cost of the last slot of an engine, as a share of value: the ends of answers are not known exactly. */
-const OCCUPANCY_COST = 0.15;
+const OCCUPANCY_COST = 0.22;
 /** Cost of a server that other entries prefer, as a share of value: entries that decide at once go apart. */
 const AFFINITY_COST = 0.02;
+/**
+ * Costs while other entries are not heard, as shares of value: work goes to the emptiest engines, and entries go apart.
+ * Answers the load pattern after all entries were restarted at once, when those that wait come back together.
+ */
+const BLIND_OCCUPANCY_COST = 0.5;
+const BLIND_AFFINITY_COST = 0.05;
 /** Cost of bytes between data centres, as a share of value. */
 const DISTANCE_COST_PER_MS = 0.0005;
 
@@ -193,12 +201,13 @@
   const fill = Math.min(1, withJob.longestPassMs / Math.max(1, job.targetPauseMs));
   const isShort = withJob.longestPassMs < SHORT_PREFILL_SHARE * job.targetPauseMs;
   const occupancy = (state.requests.length + 1) / Math.max(1, engine.slots);
-  const preference =
-    (isShort && !hasAlike(candidate, job) ? UNLIKE_ENGINE_COST : 0) +
-    FILL_COST * fill * fill +
-    OCCUPANCY_COST * occupancy ** 3 +
-    AFFINITY_COST * candidate.strangeness +
-    DISTANCE_COST_PER_MS * candidate.roundTripMs;
+  const preference = candidate.isBlind
+    ? BLIND_OCCUPANCY_COST * occupancy + BLIND_AFFINITY_COST * candidate.strangeness
+    : (isShort && !hasAlike(candidate, job) ? UNLIKE_ENGINE_COST : 0) +
+      FILL_COST * fill * fill +
+      OCCUPANCY_COST * occupancy ** 4 +
+      AFFINITY_COST * candidate.strangeness +
+      DISTANCE_COST_PER_MS * candidate.roundTripMs;
   const harm = othersLose - unavoidable + preference * value;
   return {
     server: candidate.server,
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -68,6 +68,10 @@
   readonly registry: Registry;
   readonly book: LoadBook;
   readonly settings: PlannerSettings;
+  /** Whether a job may wait for a better place; a process that is about to end places at once. */
+  readonly mayWait: boolean;
+  /** Whether other entries place work that this one does not hear of. */
+  readonly isBlind: boolean;
 }
 
 function roundTripMs(server: BackendServer, settings: PlannerSettings): number {
@@ -144,18 +148,19 @@
   servers: readonly BackendServer[],
   candidates: readonly EngineCandidate[],
   job: Job,
+  mayWait: boolean,
   nowMs: number,
 ): PlacementDecision {
   const group = chooseGroup(candidates, job, nowMs);
   const server = servers.find((candidate) => candidate.id === group?.first);
   if (group === undefined || server === undefined) {
     const leftMs = job.arrivedAtMs + job.targetMs - nowMs;
-    return leftMs > 0
+    return leftMs > 0 && mayWait
       ? { kind: DecisionKind.Wait, waitMs: Math.min(leftMs, WAIT_STEP_MS), cost: valueOf(job) }
       : refuse(RefusalReason.BeyondMemory, NO_SERVER_RETRY_MS);
   }
   const { partTokens, firstEventMs: expectedMs, cost } = group;
-  const waitMs = waitFor(job, cost, expectedMs, nowMs);
+  const waitMs = mayWait ? waitFor(job, cost, expectedMs, nowMs) : 0;
   if (waitMs > 0) {
     return { kind: DecisionKind.Wait, waitMs, cost };
   }
@@ -171,6 +176,7 @@
   engine: EngineParameters,
   candidates: readonly EngineCandidate[],
   job: Job,
+  mayWait: boolean,
   nowMs: number,
 ): PlacementDecision {
   const best = chooseEngine(candidates, job, nowMs);
@@ -182,7 +188,7 @@
     return refuse(RefusalReason.TooLate, best.firstEventMs);
   }
   const aloneMs = prefillMs(engine, 0, job.generation?.promptTokens ?? 0);
-  const waitMs = waitFor(job, best.cost, aloneMs, nowMs);
+  const waitMs = mayWait ? waitFor(job, best.cost, aloneMs, nowMs) : 0;
   return waitMs > 0
     ? { kind: DecisionKind.Wait, waitMs, cost: best.cost }
     : { kind: DecisionKind.Send, server, helpers: [], expectedMs: best.firstEventMs, cost: best.cost };
@@ -207,12 +213,13 @@
       state: load.engineState,
       jobs: load.jobs,
       strangeness: strangeness(inputs.settings.entry, server.id),
+      isBlind: inputs.isBlind,
       roundTripMs: roundTripMs(server, inputs.settings),
     };
   });
   return isBeyondMemory(engine, job)
-    ? planGroup(servers, candidates, job, nowMs)
-    : planSingle(servers, engine, candidates, job, nowMs);
+    ? planGroup(servers, candidates, job, inputs.mayWait, nowMs)
+    : planSingle(servers, engine, candidates, job, inputs.mayWait, nowMs);
 }
 
 /**
--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -103,8 +103,9 @@
   nowMs = 0,
   service = model,
   excluded: readonly string[] = [],
+  options = { mayWait: true, isBlind: false },
 ): PlacementDecision {
-  return planJob(job, service, new Set(excluded), { registry, book, settings }, nowMs);
+  return planJob(job, service, new Set(excluded), { registry, book, settings, ...options }, nowMs);
 }
 
 /** The server that a decision names; fails for any other decision. */
@@ -173,6 +174,27 @@
   });
 });
 
+describe('entries that were restarted together', () => {
+  it('spread short prompts over engines until they hear one another', () => {
+    const book = createLoadBook();
+    place(book, 'e1', shortJob('a'));
+    const options = { mayWait: true, isBlind: true };
+    assert.equal(
+      placeOf(plan(book, registryOf('e1', 'e2'), shortJob('b', 300), 300, model, [], options)),
+      'e2',
+    );
+  });
+
+  it('place at once what could wait when the process is about to end', () => {
+    const book = createLoadBook();
+    place(book, 'e1', shortJob('a'));
+    const registry = registryOf('e1');
+    const options = { mayWait: false, isBlind: false };
+    assert.equal(plan(book, registry, longJob('long'), 200).kind, DecisionKind.Wait);
+    assert.equal(plan(book, registry, longJob('long'), 200, model, [], options).kind, DecisionKind.Send);
+  });
+});
+
 describe('prompts beyond the memory of one engine', () => {
   it('are prefilled by several, each with room for its part', () => {
     const decision = plan(createLoadBook(), registryOf('e1', 'e2', 'e3', 'e4'), longJob('huge', 500_000));
