--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,8 +66,8 @@
 
 /** Paces of following the store: servers change most, and requests must leave a leaving server in time. */
 const paces: Readonly<Record<RecordKind, FollowPace>> = {
-  [RecordKind.Catalogue]: { waitMs: 1_200, intervalMs: 200 },
-  [RecordKind.Server]: { waitMs: 1_000, intervalMs: 500 },
+  [RecordKind.Catalogue]: { waitMs: 2_000, intervalMs: 200 },
+  [RecordKind.Server]: { waitMs: 2_000, intervalMs: 400 },
   [RecordKind.Entry]: { waitMs: 5_000, intervalMs: 1_000 },
 };
 /** Time to a server in another data centre and back; replaced by measured times once there are some. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,7 +14,6 @@
 await build({
   entryPoints: isForPlatform ? platformEntryPoints : entryPoints,
   minify: isForPlatform,
-  keepNames: isForPlatform,
   bundle: true,
   platform: 'node',
   target: 'node20',
