Prompts that come late anyway go where they come least late

Change: what a late first event costs grows until the caller stops waiting. The test failed before the change.

--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -25,6 +25,16 @@
   readonly hasStarted: boolean;
 }
 
+/**
+ * Describes a job that no server has yet.
+ *
+ * @param job - the job
+ * @returns the job as a placed one without an owner
+ */
+export function unplaced(job: Job): PlacedJob {
+  return { job, owner: '', isLate: false, hasStarted: false };
+}
+
 /** An engine that may take a prompt. */
 export interface EngineCandidate {
   readonly server: string;
@@ -90,6 +100,29 @@
   return Math.min(1, Math.max(0, (share - RISK_STARTS_AT) / (RISK_ENDS_AT - RISK_STARTS_AT)));
 }
 
+/** What a placed job loses by a pause in its stream. */
+function lossOfPause(placed: PlacedJob, pauseMs: number): number {
+  const { job, isLate } = placed;
+  return isLate ? 0 : riskOf(pauseMs, job.targetPauseMs) * LATE_LOSS * valueOf(job);
+}
+
+/**
+ * Gives what a placed job loses if its first event comes at a time: most of its value once it is late, and the rest
+ * bit by bit until its caller stops waiting.
+ *
+ * @param placed - the job
+ * @param firstEventAtMs - when the event reaches the entry
+ * @returns value that is expected to be lost
+ */
+export function lossOfStart(placed: PlacedJob, firstEventAtMs: number): number {
+  const { job, isLate } = placed;
+  const elapsedMs = firstEventAtMs - job.arrivedAtMs;
+  const patienceMs = Math.max(1, job.deadlineAtMs - job.arrivedAtMs - job.targetMs);
+  const delay = Math.min(1, Math.max(0, (elapsedMs - job.targetMs) / patienceMs));
+  const lateness = isLate ? 0 : LATE_LOSS * riskOf(elapsedMs, job.targetMs);
+  return (lateness + (1 - LATE_LOSS) * delay) * valueOf(job);
+}
+
 interface Outlook {
   /** Value lost by each job, by its name. */
   readonly losses: ReadonlyMap<string, number>;
@@ -118,11 +151,9 @@
   let passesLeft = passLimit;
   let generated: string[] = [];
   let started: string[] = [];
-  const lose = (id: string, elapsedMs: number, limitMs: number): void => {
-    const placed = jobs.get(id);
-    const risk = riskOf(elapsedMs, limitMs);
-    if (placed !== undefined && !placed.isLate && risk > 0) {
-      losses.set(id, Math.max(losses.get(id) ?? 0, risk * LATE_LOSS * valueOf(placed.job)));
+  const lose = (id: string, loss: number): void => {
+    if (loss > 0) {
+      losses.set(id, Math.max(losses.get(id) ?? 0, loss));
     }
   };
   while (passesLeft > 0 && run.size > 0) {
@@ -136,15 +167,12 @@
     passesLeft -= 1;
     longestPassMs = Math.max(longestPassMs, durationMs);
     for (const id of generated) {
-      lose(id, durationMs, jobs.get(id)?.job.targetPauseMs ?? Infinity);
+      const placed = jobs.get(id);
+      lose(id, placed === undefined ? 0 : lossOfPause(placed, durationMs));
     }
     for (const id of started) {
-      const job = jobs.get(id)?.job;
-      lose(
-        id,
-        run.passStartsAtMs + candidate.roundTripMs - (job?.arrivedAtMs ?? 0),
-        job?.targetMs ?? Infinity,
-      );
+      const placed = jobs.get(id);
+      lose(id, placed === undefined ? 0 : lossOfStart(placed, run.passStartsAtMs + candidate.roundTripMs));
     }
     if (added !== undefined && started.includes(added.id)) {
       firstEventAtMs = run.passStartsAtMs;
@@ -190,7 +218,7 @@
   }
   const { engine } = candidate;
   const state = advanceEngine(engine, candidate.state, nowMs);
-  const jobs = new Map(candidate.jobs).set(job.id, { job, owner: '', isLate: false, hasStarted: false });
+  const jobs = new Map(candidate.jobs).set(job.id, unplaced(job));
   const withJob = lookAhead(candidate, state, jobs, newRequest(job.id, job.generation), MAX_PASSES);
   const ownLoss = withJob.losses.get(job.id) ?? 0;
   const othersLose = total(withJob.losses) - ownLoss;
@@ -218,17 +246,6 @@
   };
 }
 
-/**
- * Gives what a job loses if its first event comes at a time.
- *
- * @param job - the job
- * @param firstEventAtMs - when the event reaches this entry
- * @returns value that is expected to be lost
- */
-export function lossOfStart(job: Job, firstEventAtMs: number): number {
-  return riskOf(firstEventAtMs - job.arrivedAtMs, job.targetMs) * LATE_LOSS * valueOf(job);
-}
-
 /**
  * Chooses the engine whose jobs, with the new one, lose least.
  *
--- a/packages/placement/src/group-choice.ts
+++ b/packages/placement/src/group-choice.ts
@@ -10,6 +10,7 @@
   type EngineCandidate,
   type EnginePrediction,
   lossOfStart,
+  unplaced,
   predictPlacement,
 } from './engine-choice.js';
 import { type Job, valueOf } from './job.js';
@@ -103,7 +104,7 @@
     helpers: helpers.map((prediction) => prediction.server),
     partTokens,
     firstEventMs,
-    cost: harm + lossOfStart(job, nowMs + firstEventMs) + HELPER_COST * size * valueOf(job),
+    cost: harm + lossOfStart(unplaced(job), nowMs + firstEventMs) + HELPER_COST * size * valueOf(job),
   };
 }
 
--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -174,6 +174,19 @@
   });
 });
 
+describe('prompts that come late wherever they go', () => {
+  it('go where they come least late', () => {
+    const book = createLoadBook();
+    place(book, 'e1', longJob('a', 180_000));
+    place(book, 'e1', longJob('b', 180_000));
+    place(book, 'e2', longJob('c', 60_000));
+    const options = { mayWait: false, isBlind: false };
+    for (const registry of [registryOf('e1', 'e2'), registryOf('e2', 'e1')]) {
+      assert.equal(placeOf(plan(book, registry, shortJob('d', 10), 10, model, [], options)), 'e2');
+    }
+  });
+});
+
 describe('entries that were restarted together', () => {
   it('spread short prompts over engines until they hear one another', () => {
     const book = createLoadBook();
