--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -327,17 +327,21 @@
 });
 
 describe('time', () => {
-  it('ends a request at its deadline: in doubt as 504, since a server has it', async () => {
-    const server = await startScriptedServer(() => undefined);
-    const gateway = await startTestGateway([server.port], catalogue, true);
-    open.push(server, gateway);
-    const { result } = callAs({ port: gateway.port, path: paths.once, headers: { patience: '700' } });
-    while (server.received.length === 0) {
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-    gateway.clock.advance(701);
-    assert.equal((await result).status, 504);
-  });
+  it(
+    'ends a request at its deadline: in doubt as 504, since a server has it',
+    { timeout: 20_000 },
+    async () => {
+      const server = await startScriptedServer(() => undefined);
+      const gateway = await startTestGateway([server.port], catalogue, true);
+      open.push(server, gateway);
+      const { result } = callAs({ port: gateway.port, path: paths.once, headers: { patience: '700' } });
+      while (server.received.length === 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      gateway.clock.advance(701);
+      assert.equal((await result).status, 504);
+    },
+  );
 
   it('waits on at a silent server while there is no other place', async () => {
     let answer = (): void => undefined;
--- /dev/null
+++ b/packages/forwarding/test/memory.test.ts
@@ -0,0 +1,110 @@
+/** Memory that is set aside for parts of a prompt: all or nothing, renewed, and given back on every way out. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock, type ManualClock } from '@toucanbend/core';
+import { type EngineMemory, type Reservation, reserveParts } from '@toucanbend/forwarding';
+import { type Logger } from '@toucanbend/observability';
+import { type Helper } from '@toucanbend/placement';
+import { type BackendServer, ServerState } from '@toucanbend/registry';
+import { err, ok } from 'neverthrow';
+
+const ignore = (): void => undefined;
+const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
+const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+function helper(id: string, keepsPart = true): Helper {
+  const server: BackendServer = {
+    id,
+    service: 'model',
+    host: '10.0.0.1',
+    port: 80,
+    dataCentre: 'bagmati-a',
+    slots: 4,
+    state: ServerState.Ready,
+    bornAtMs: 0,
+  };
+  return { server, partTokens: 100_000, keepsPart };
+}
+
+interface Engines {
+  readonly calls: string[];
+  readonly clock: ManualClock;
+  reserve(...helpers: readonly Helper[]): Promise<Reservation | readonly unknown[]>;
+}
+
+/** Engines that record orders; those named in `refusing` refuse to set memory aside, or to release it once. */
+function createEngines(refusing: { reserve?: string; firstRelease?: string } = {}): Engines {
+  const calls: string[] = [];
+  const clock = createManualClock();
+  let hasRefusedRelease = false;
+  const memory: EngineMemory = {
+    reserve: (server, name) => {
+      calls.push(`reserve ${name} at ${server.id}`);
+      return Promise.resolve(
+        server.id === refusing.reserve ? err({ server: server.id, message: '409' }) : ok(),
+      );
+    },
+    release: (server, name) => {
+      calls.push(`release ${name} at ${server.id}`);
+      const refuses = server.id === refusing.firstRelease && !hasRefusedRelease;
+      hasRefusedRelease ||= refuses;
+      return Promise.resolve(refuses ? err({ server: server.id, message: 'no answer' }) : ok());
+    },
+  };
+  return {
+    calls,
+    clock,
+    reserve: (...helpers) => reserveParts({ clock, logger, memory }, 'r1', helpers),
+  };
+}
+
+async function reserveWell(engines: Engines, ...helpers: readonly Helper[]): Promise<Reservation> {
+  const reserved = await engines.reserve(...helpers);
+  assert.ok('release' in reserved);
+  return reserved;
+}
+
+describe('memory for parts of a prompt', () => {
+  it('is set aside only at helpers that keep a part', async () => {
+    const engines = createEngines();
+    await reserveWell(engines, helper('e1'), helper('e2', false));
+    assert.deepEqual(engines.calls, ['reserve r1 at e1']);
+  });
+
+  it('is given back everywhere where one engine refuses, also where the answer may have been lost', async () => {
+    const engines = createEngines({ reserve: 'e2' });
+    const reserved = await engines.reserve(helper('e1'), helper('e2'));
+    assert.deepEqual(reserved, [{ server: 'e2', message: '409' }]);
+    assert.deepEqual(engines.calls.slice(2), ['release r1 at e1', 'release r1 at e2']);
+  });
+
+  it('is renewed before its hold ends, and no more after its release', async () => {
+    const engines = createEngines();
+    const reserved = await reserveWell(engines, helper('e1'));
+    engines.clock.advance(3_000);
+    await settle();
+    assert.equal(engines.calls.filter((call) => call.startsWith('reserve')).length, 3);
+    reserved.release();
+    engines.clock.advance(10_000);
+    await settle();
+    assert.deepEqual(engines.calls.slice(3), ['release r1 at e1']);
+  });
+
+  it('is released once however often that is asked for', async () => {
+    const engines = createEngines();
+    const reserved = await reserveWell(engines, helper('e1'));
+    reserved.release();
+    reserved.release();
+    assert.equal(engines.calls.filter((call) => call.startsWith('release')).length, 1);
+  });
+
+  it('is released once more where the first order got no answer', async () => {
+    const engines = createEngines({ firstRelease: 'e1' });
+    const reserved = await reserveWell(engines, helper('e1'));
+    reserved.release();
+    await settle();
+    engines.clock.advance(300);
+    await settle();
+    assert.equal(engines.calls.filter((call) => call.startsWith('release')).length, 2);
+  });
+});
--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -245,6 +245,11 @@
     assert.equal(placeOf(plan(book, registry, shortJob('a'), 10, model, ['tried'])), 'well');
   });
 
+  it('refuses rather than send to a server that is leaving', () => {
+    const registry = mergeRecords(emptyRegistry, [serverRecord('e1', 'model', ServerState.Leaving)], {});
+    assert.equal(plan(createLoadBook(), registry, shortJob('a')).kind, DecisionKind.Refuse);
+  });
+
   it('takes a server that has just failed rather than none', () => {
     const book = createLoadBook();
     book.failed('e1', 0);
