--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -22,7 +22,6 @@
   readonly owner: string;
   /** Whether its answer is late already; further delay costs nothing more. */
   readonly isLate: boolean;
-  readonly hasStarted: boolean;
 }
 
 /**
@@ -32,7 +31,7 @@
  * @returns the job as a placed one without an owner
  */
 export function unplaced(job: Job): PlacedJob {
-  return { job, owner: '', isLate: false, hasStarted: false };
+  return { job, owner: '', isLate: false };
 }
 
 /** An engine that may take a prompt. */
--- a/packages/placement/src/load-book.ts
+++ b/packages/placement/src/load-book.ts
@@ -137,7 +137,7 @@
     },
     placed: (owner, server, engine, job, atMs) => {
       const before = load(server);
-      const jobs = new Map(before.jobs).set(job.id, { job, owner, isLate: false, hasStarted: false });
+      const jobs = new Map(before.jobs).set(job.id, { job, owner, isLate: false });
       if (engine === undefined || job.generation === undefined) {
         change(server, { jobs });
         return;
@@ -158,11 +158,7 @@
         event.pauseMs === undefined || state.lastPassMs === 0
           ? before.slowdown
           : clamp(mix(before.slowdown, ratio), LEAST_SLOWDOWN, MOST_SLOWDOWN);
-      const jobs = new Map(before.jobs).set(event.jobId, {
-        ...placed,
-        hasStarted: true,
-        isLate: isLateNow(placed, event),
-      });
+      const jobs = new Map(before.jobs).set(event.jobId, { ...placed, isLate: isLateNow(placed, event) });
       change(server, {
         jobs,
         slowdown,
