--- a/packages/engine-model/src/engine-state.ts
+++ b/packages/engine-model/src/engine-state.ts
@@ -6,6 +6,8 @@
   readonly id: string;
   readonly prefilledTokens: number;
   readonly generatedTokens: number;
+  /** Whether nobody will tell of its end, so that it leaves once its expected answer is complete. */
+  readonly isUnobserved?: boolean;
 }
 
 /** State of an engine between two passes. */
@@ -142,9 +144,7 @@
     }
     this.#passStartsAtMs += durationMs;
     this.#lastPassMs = durationMs;
-    if (this.#expectedEnd === ExpectedEnd.Leaves) {
-      this.#dropFinished();
-    }
+    this.#dropFinished();
     return durationMs;
   }
 
@@ -178,7 +178,8 @@
 
   #dropFinished(): void {
     const isFinished = (running: RunningRequest): boolean =>
-      isGenerating(running) && running.generatedTokens >= running.expectedTokens;
+      running.generatedTokens >= running.expectedTokens &&
+      (this.#expectedEnd === ExpectedEnd.Leaves || running.request.isUnobserved === true);
     if (this.#requests.some(isFinished)) {
       this.#requests = this.#requests.filter((running) => !isFinished(running));
     }
@@ -255,6 +256,20 @@
   return { ...state, requests: state.requests.filter((request) => request.id !== id) };
 }
 
+/**
+ * Marks requests of whose end nobody will tell.
+ *
+ * @param state - state of the engine
+ * @param isUnobserved - tells such requests by their names
+ * @returns the state in which they leave once their expected answers are complete
+ */
+export function markUnobserved(state: EngineState, isUnobserved: (id: string) => boolean): EngineState {
+  const requests = state.requests.map((request) =>
+    isUnobserved(request.id) ? { ...request, isUnobserved: true } : request,
+  );
+  return { ...state, requests };
+}
+
 /**
  * Corrects a state by an event of an answer: the event came at the end of a pass.
  *
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   createPeers,
   createRegistrar,
   createRegistryHolder,
+  createStoreContact,
   type FollowPace,
 } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
@@ -72,9 +73,10 @@
 };
 /** Time to a server in another data centre and back; replaced by measured times once there are some. */
 const CROSS_ROUND_TRIP_MS = 8;
-/** Time without an answer, beyond a watch's wait, after which other entries are asked for news. */
-const STALE_AFTER_MS = 400;
-const PULL_INTERVAL_MS = 300;
+/** Time between two comparisons with some other entries of what is known, in milliseconds. */
+const COMPARE_INTERVAL_MS = 1_000;
+/** Share of the other entries from which on what they tell is enough to place work by. */
+const HEARD_SHARE = 0.5;
 const PRUNE_INTERVAL_MS = 1_000;
 /** Time in which the balancer notices that an entry takes no more connections. */
 const NOTICE_MS = 2_300;
@@ -143,6 +145,7 @@
       applyNews(book, from, news, engineOf, clock.now());
     },
     onGone: book.dropOwner,
+    onUnheard: book.unheard,
   });
   const context: ForwardingContext = {
     clock,
@@ -158,7 +161,7 @@
     entryCount: () => Math.max(1, listEntries(holder.current()).length),
     isLeaving: () => isLeaving,
     takesRequests: () => !isClosed,
-    isBlind: () => peers.linkCount() < listEntries(holder.current()).length - 1,
+    isBlind: () => peers.linkCount() < HEARD_SHARE * (listEntries(holder.current()).length - 1),
     tell: peers.tell.bind(peers),
   };
   const port = createCallerPort(context);
@@ -175,8 +178,19 @@
   await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
   await port.listen(options.callers.host, options.callers.port);
   await peers.start();
-  const follower = createFollower({ source, holder, clock, random, logger, paces });
-  const registrar = createRegistrar(member, source, clock, logger);
+  const contact = createStoreContact(clock, logger);
+  const follower = createFollower({
+    source,
+    holder,
+    clock,
+    random,
+    logger,
+    paces,
+    contact,
+    linkedEntries: peers.linkCount.bind(peers),
+    onNews: peers.announce.bind(peers),
+  });
+  const registrar = createRegistrar(member, source, clock, logger, contact);
   follower.start();
   registrar.start();
   const prune = (): void => {
@@ -184,17 +198,11 @@
     clock.after(PRUNE_INTERVAL_MS, prune);
   };
   prune();
-  const pullIfStale = (): void => {
-    const nowMs = clock.now();
-    const isStale = [RecordKind.Catalogue, RecordKind.Server].some(
-      (kind) => nowMs - (follower.lastAnswerAtMs(kind) ?? 0) > paces[kind].waitMs + STALE_AFTER_MS,
-    );
-    if (isStale) {
-      peers.pull();
-    }
-    clock.after(PULL_INTERVAL_MS, pullIfStale);
+  const compare = (): void => {
+    peers.compare();
+    clock.after(COMPARE_INTERVAL_MS, compare);
   };
-  pullIfStale();
+  compare();
   logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
 
   return {
--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -4,10 +4,14 @@
 import { RecordKind, type RegistryRecord, type RegistrySource, SourceErrorKind } from '@toucanbend/registry';
 import { createLapseGuard } from './lapse-guard.js';
 import { type RegistryHolder } from './registry-holder.js';
+import { type StoreContact } from './store-contact.js';
 
 /** Pace of following one kind of record. */
 export interface FollowPace {
-  /** How long a watch waits for changes, in milliseconds. */
+  /**
+   * How long a watch waits for changes where no other entry passes them on, in milliseconds. It grows with the entries
+   * that do: some watch ends about this often over all entries, whatever their number.
+   */
   readonly waitMs: number;
   /** Least time between two calls, in milliseconds: calls to the store are limited for all nodes together. */
   readonly intervalMs: number;
@@ -17,8 +21,6 @@
 export interface Follower {
   start(): void;
   stop(): void;
-  /** When the store last answered about a kind of record; undefined before the first answer. */
-  lastAnswerAtMs(kind: RecordKind): number | undefined;
 }
 
 /** What following needs. */
@@ -29,11 +31,20 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly paces: Readonly<Record<RecordKind, FollowPace>>;
+  readonly contact: StoreContact;
+  /** How many other entries pass on what they learn from the store. */
+  readonly linkedEntries: () => number;
+  /** Learns that a watch brought changes. */
+  readonly onNews: () => void;
 }
 
 /** Pause after a failed call; doubled for each further one up to the longest. */
 const FIRST_BACKOFF_MS = 100;
 const LONGEST_BACKOFF_MS = 800;
+/** Longest wait of a watch, in milliseconds: half of the longest that the store allows. */
+const LONGEST_WAIT_MS = 15_000;
+/** Share of the wait that is drawn at random, so that watches which a change ended together do not end together again. */
+const WAIT_SPREAD = 0.8;
 
 /** Follows one kind of record. */
 class KindFollower {
@@ -42,13 +53,16 @@
   readonly #guard = createLapseGuard();
   #revision: number | undefined;
   #failures = 0;
+  #failingSinceMs = 0;
   #isStopped = false;
   #cancelTimer = (): void => undefined;
-  lastAnswerAtMs: number | undefined;
 
   constructor(options: FollowerOptions, kind: RecordKind) {
     this.#options = options;
     this.#kind = kind;
+    options.contact.onRegained((silentMs) => {
+      this.#guard.noteOutage(silentMs, options.clock.now());
+    });
   }
 
   stop(): void {
@@ -90,8 +104,8 @@
   }
 
   async #watch(revision: number): Promise<boolean> {
-    const { source, holder, clock, paces } = this.#options;
-    const changes = await source.watch(this.#kind, revision, paces[this.#kind].waitMs);
+    const { source, holder, clock, onNews } = this.#options;
+    const changes = await source.watch(this.#kind, revision, this.#waitMs());
     if (changes.isErr()) {
       if (changes.error.kind === SourceErrorKind.HistoryLost) {
         this.#revision = undefined;
@@ -103,10 +117,20 @@
     this.#revision = Math.max(revision, changes.value.revision);
     const present = this.#guard.hold(changes.value.records, clock.now());
     holder.merge(present, { [this.#kind]: this.#revision });
+    if (present.length > 0) {
+      onNews();
+    }
     this.#releaseHeld();
     return true;
   }
 
+  #waitMs(): number {
+    const { linkedEntries, paces, random } = this.#options;
+    const { waitMs } = paces[this.#kind];
+    const longestMs = Math.max(waitMs, Math.min(LONGEST_WAIT_MS, (waitMs * (linkedEntries() + 1)) / 2));
+    return longestMs <= waitMs ? waitMs : longestMs * (1 - WAIT_SPREAD * random.fraction());
+  }
+
   /** Removes what is still missing some time after an outage. */
   #releaseHeld(): void {
     const { holder, clock } = this.#options;
@@ -117,21 +141,17 @@
   }
 
   #note(error: string, isWell: boolean): boolean {
-    const { clock, logger } = this.#options;
-    const nowMs = clock.now();
+    const { contact, clock } = this.#options;
     if (isWell) {
-      const silentMs = this.lastAnswerAtMs === undefined ? 0 : nowMs - this.lastAnswerAtMs;
       if (this.#failures > 0) {
-        logger.info('store regained', { kind: this.#kind, silentMs: Math.round(silentMs) });
-        this.#guard.noteOutage(silentMs, nowMs);
+        this.#guard.noteOutage(clock.now() - this.#failingSinceMs, clock.now());
       }
       this.#failures = 0;
-      this.lastAnswerAtMs = nowMs;
+      contact.answered();
     } else {
-      if (this.#failures === 0) {
-        logger.warn('store lost', { kind: this.#kind, error });
-      }
+      this.#failingSinceMs = this.#failures === 0 ? clock.now() : this.#failingSinceMs;
       this.#failures += 1;
+      contact.failed(this.#kind, error);
     }
     return isWell;
   }
@@ -162,6 +182,5 @@
         follower.stop();
       });
     },
-    lastAnswerAtMs: (kind) => followers.get(kind)?.lastAnswerAtMs,
   };
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,3 +4,4 @@
 export * from './peers.js';
 export * from './registrar.js';
 export * from './registry-holder.js';
+export * from './store-contact.js';
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -4,7 +4,9 @@
 import { decodeNews, encodeNews, type LoadNews } from '@toucanbend/placement';
 import {
   type EntryMember,
+  isBehind,
   listEntries,
+  newestRecords,
   type RecordKind,
   recordsSince,
   type RegistryRecord,
@@ -31,8 +33,10 @@
   stop(): void;
   /** Tells all other entries; what is told within a moment travels together. */
   tell(news: LoadNews): void;
-  /** Asks some other entries for newer records of the registry. */
-  pull(): void;
+  /** Tells all other entries which records are known here, soon after the store brought some. */
+  announce(): void;
+  /** Tells some other entries which records are known here, and learns from them what is missing here. */
+  compare(): void;
   linkCount(): number;
 }
 
@@ -50,6 +54,8 @@
   readonly onNews: (from: string, news: LoadNews) => void;
   /** Learns that an entry's process is gone. */
   readonly onGone: (name: string) => void;
+  /** Learns that an entry is not heard any more, whose process may live. */
+  readonly onUnheard: (name: string) => void;
 }
 
 /** Links to some dozens of hosts a few milliseconds apart; a silent link is replaced within two seconds. */
@@ -65,8 +71,17 @@
 const DIAL_INTERVAL_MS = 500;
 /** Time in which news is gathered, so that several pieces share a frame: far below a pass of an engine. */
 const GATHER_MS = 4;
-/** Entries that are asked for news at once. */
-const PULLED_PEERS = 2;
+/** Entries that are told at once which records are known here. */
+const COMPARED_PEERS = 2;
+/**
+ * Time after which records that another entry has are asked for, in milliseconds: the store's own answer, which is
+ * cheaper for the other entry, has come by then if it comes.
+ */
+const PULL_GRACE_MS = 500;
+/** The same while nothing was read from the store yet. */
+const FIRST_PULL_GRACE_MS = 150;
+/** Longest delay of an announcement, in milliseconds: most entries learn of a change from their own watch meanwhile. */
+const ANNOUNCE_DELAY_MS = 120;
 
 /** Links between entries. */
 class LinkedPeers implements Peers {
@@ -75,7 +90,10 @@
   readonly #endpoint: EndpointOptions;
   #waiting: LoadNews[] = [];
   #dialled = new Map<string, Link>();
+  readonly #incarnations = new Map<string, string>();
   #isStopped = false;
+  #announces = false;
+  #pulls = false;
   #cancelDial = (): void => undefined;
 
   constructor(options: PeersOptions) {
@@ -120,13 +138,26 @@
     }
   }
 
-  pull(): void {
+  announce(): void {
+    if (this.#announces) {
+      return;
+    }
+    const { clock, random } = this.#options;
+    this.#announces = true;
+    clock.after(ANNOUNCE_DELAY_MS * random.fraction(), () => {
+      this.#announces = false;
+      this.#sendDigest([...this.#dialled.values()]);
+    });
+  }
+
+  compare(): void {
     const open = [...this.#dialled.values()].filter((link) => link.isOpen());
-    const { random, holder } = this.#options;
-    for (let asked = 0; asked < PULLED_PEERS && open.length > 0; asked += 1) {
-      const [link] = open.splice(random.below(open.length), 1);
-      link?.send({ type: FrameType.RegistryPull, revisions: { ...holder.current().revisions } });
+    const { random } = this.#options;
+    const chosen: Link[] = [];
+    while (chosen.length < COMPARED_PEERS && open.length > 0) {
+      chosen.push(...open.splice(random.below(open.length), 1));
     }
+    this.#sendDigest(chosen);
   }
 
   linkCount(): number {
@@ -142,6 +173,39 @@
     }
   }
 
+  /** What an earlier process of an entry placed is gone with it, even where nobody saw that process end. */
+  #noteIncarnation(node: string, incarnation: string): void {
+    const known = this.#incarnations.get(node);
+    this.#incarnations.set(node, incarnation);
+    if (known !== undefined && known !== incarnation) {
+      this.#options.onGone(node);
+    }
+  }
+
+  #sendDigest(links: readonly Link[]): void {
+    const revisions = newestRecords(this.#options.holder.current());
+    for (const link of links) {
+      link.send({ type: FrameType.RegistryDigest, revisions });
+    }
+  }
+
+  /** Asks another entry for records, once, if they are still missing here after a moment. */
+  #pullLater(link: Link, announced: Readonly<Record<string, number>>): void {
+    const { holder, clock } = this.#options;
+    if (this.#pulls || !isBehind(holder.current().revisions, announced)) {
+      return;
+    }
+    this.#pulls = true;
+    const isFirst = holder.current().catalogue === undefined;
+    clock.after(isFirst ? FIRST_PULL_GRACE_MS : PULL_GRACE_MS, () => {
+      this.#pulls = false;
+      const { revisions } = holder.current();
+      if (isBehind(revisions, announced)) {
+        link.send({ type: FrameType.RegistryPull, revisions: { ...revisions } });
+      }
+    });
+  }
+
   #dialAll(): void {
     this.#dialMissing();
     if (!this.#isStopped) {
@@ -164,8 +228,9 @@
   }
 
   #adoptDialled(link: Link): void {
-    const { logger, holder } = this.#options;
+    const { logger } = this.#options;
     const { node, incarnation } = link.peer;
+    this.#noteIncarnation(node, incarnation);
     this.#dialled.set(node, link);
     logger.info('peer linked', { peer: node, incarnation });
     link.setActive(true);
@@ -177,12 +242,15 @@
       logger.warn('peer lost', { peer: node, end });
       if (end === LinkEnd.Closed) {
         this.#options.onGone(node);
+      } else {
+        this.#options.onUnheard(node);
       }
     });
-    link.send({ type: FrameType.RegistryPull, revisions: { ...holder.current().revisions } });
+    this.#sendDigest([link]);
   }
 
   #adoptAccepted(link: Link): void {
+    this.#noteIncarnation(link.peer.node, link.peer.incarnation);
     link.setActive(true);
     this.#serve(link);
     // A peer that has just come up is dialled at once, not at the next look.
@@ -216,6 +284,9 @@
         }
         break;
       }
+      case FrameType.RegistryDigest:
+        this.#pullLater(link, frame.revisions);
+        break;
       case FrameType.RegistryNews:
         holder.merge(
           frame.records as RegistryRecord[],
--- a/packages/membership/src/registrar.ts
+++ b/packages/membership/src/registrar.ts
@@ -2,6 +2,7 @@
 import { type Clock } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import { type EntryMember, type RegistrySource, SourceErrorKind } from '@toucanbend/registry';
+import { type StoreContact } from './store-contact.js';
 
 /** Keeps an entry registered. */
 export interface Registrar {
@@ -12,8 +13,11 @@
 
 /** How long a registration holds without renewal; several outages of a renewal fit in. */
 const LIFETIME_MS = 10_000;
-/** Time between renewals, in milliseconds. */
-const RENEWAL_MS = 3_000;
+/**
+ * Time between renewals, in milliseconds. Renewals are the cheapest calls to the store and show whether it answers: an
+ * outage must be noticed before registrations of servers lapse in it, which is after three of their heartbeats.
+ */
+const RENEWAL_MS = 2_000;
 /** Pause after a failed call, in milliseconds. */
 const RETRY_MS = 700;
 
@@ -24,6 +28,7 @@
  * @param source - the store
  * @param clock - measures the time between renewals
  * @param logger - learns of registrations that are lost
+ * @param contact - learns whether the store answers
  * @returns the registrar, which does not run yet
  */
 export function createRegistrar(
@@ -31,6 +36,7 @@
   source: RegistrySource,
   clock: Clock,
   logger: Logger,
+  contact: StoreContact,
 ): Registrar {
   let lease: string | undefined;
   let isStopped = false;
@@ -47,9 +53,11 @@
   const register = async (): Promise<void> => {
     const registered = await source.register(member, LIFETIME_MS);
     if (registered.isOk()) {
+      contact.answered();
       lease = registered.value;
       logger.info('registered', { lease });
     } else {
+      contact.failed('register', registered.error.message);
       logger.warn('not registered', { error: registered.error.message });
     }
     schedule(registered.isOk() ? RENEWAL_MS : RETRY_MS);
@@ -67,6 +75,9 @@
       schedule(0);
       return;
     }
+    renewed.match(contact.answered, (error) => {
+      contact.failed('renew', error.message);
+    });
     schedule(renewed.isOk() ? RENEWAL_MS : RETRY_MS);
   };
 
--- /dev/null
+++ b/packages/membership/src/store-contact.ts
@@ -0,0 +1,58 @@
+/** Whether the store answers this process, over all calls to it. */
+import { type Clock } from '@toucanbend/core';
+import { type Logger } from '@toucanbend/observability';
+
+/** Whether the store answers this process. */
+export interface StoreContact {
+  /** Notes an answer of the store. */
+  answered(): void;
+  /**
+   * Notes a call without a usable answer.
+   *
+   * @param call - what was called, for the log
+   * @param error - why there is no answer, for the log
+   */
+  failed(call: string, error: string): void;
+  /** Whether the last call was answered. */
+  isWell(): boolean;
+  /** Adds one who learns that the store answers again, and for how long it gave no answer. */
+  onRegained(handle: (silentMs: number) => void): void;
+}
+
+/**
+ * Creates the record of a store that was not called yet.
+ *
+ * @param clock - measures the time without answers
+ * @param logger - learns of a store that is lost or regained
+ * @returns the record
+ */
+export function createStoreContact(clock: Clock, logger: Logger): StoreContact {
+  const handlers: ((silentMs: number) => void)[] = [];
+  let lastAnswerAtMs: number | undefined;
+  let failures = 0;
+  return {
+    answered: () => {
+      const nowMs = clock.now();
+      const silentMs = lastAnswerAtMs === undefined ? 0 : nowMs - lastAnswerAtMs;
+      const isRegained = failures > 0;
+      lastAnswerAtMs = nowMs;
+      failures = 0;
+      if (isRegained) {
+        logger.info('store regained', { silentMs: Math.round(silentMs) });
+        handlers.forEach((handle) => {
+          handle(silentMs);
+        });
+      }
+    },
+    failed: (call, error) => {
+      if (failures === 0) {
+        logger.warn('store lost', { call, error });
+      }
+      failures += 1;
+    },
+    isWell: () => failures === 0,
+    onRegained: (handle) => {
+      handlers.push(handle);
+    },
+  };
+}
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -7,6 +7,8 @@
   createLapseGuard,
   createRegistrar,
   createRegistryHolder,
+  createStoreContact,
+  type StoreContact,
 } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
 import {
@@ -50,6 +52,8 @@
 /** A store whose answers about servers are scripted; it has nothing else. */
 class ScriptedSource implements RegistrySource {
   readonly calls: string[] = [];
+  /** How long the watches were to wait. */
+  readonly waits: number[] = [];
   readonly #answers: Answer[];
 
   constructor(answers: readonly Answer[]) {
@@ -60,10 +64,16 @@
     return this.#answer(kind, 'list');
   }
 
-  watch(kind: RecordKind, revision: number): Promise<Answer> {
+  watch(kind: RecordKind, revision: number, waitMs: number): Promise<Answer> {
+    this.waits.push(waitMs);
     return this.#answer(kind, `watch ${String(revision)}`);
   }
 
+  /** Scripts one more answer. */
+  answer(answer: Answer): void {
+    this.#answers.push(answer);
+  }
+
   /** Replaced by tests of the registration. */
   register: RegistrySource['register'] = () => Promise.resolve(err(unreachable));
   renew: RegistrySource['renew'] = () => Promise.resolve(ok());
@@ -83,6 +93,9 @@
 
 interface Followed {
   readonly source: ScriptedSource;
+  readonly contact: StoreContact;
+  /** How often changes came from the store. */
+  news(): number;
   readonly clock: ManualClock;
   ids(): string[];
   /** Moves time on in steps, and lets what is due happen. */
@@ -91,7 +104,7 @@
 
 const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
-async function follow(...answers: readonly Answer[]): Promise<Followed> {
+async function followBeside(linkedEntries: number, ...answers: readonly Answer[]): Promise<Followed> {
   const source = new ScriptedSource(answers);
   const clock = createManualClock();
   const holder = createRegistryHolder();
@@ -100,12 +113,28 @@
     [RecordKind.Server]: pace,
     [RecordKind.Entry]: pace,
   };
-  const follower = createFollower({ source, holder, clock, random: createRandom(1), logger, paces });
+  const contact = createStoreContact(clock, logger);
+  let news = 0;
+  const follower = createFollower({
+    source,
+    holder,
+    clock,
+    random: createRandom(1),
+    logger,
+    paces,
+    contact,
+    linkedEntries: () => linkedEntries,
+    onNews: () => {
+      news += 1;
+    },
+  });
   follower.start();
   await settle();
   return {
     source,
     clock,
+    contact,
+    news: () => news,
     ids: () =>
       listServers(holder.current())
         .map((known) => known.id)
@@ -119,6 +148,10 @@
   };
 }
 
+function follow(...answers: readonly Answer[]): Promise<Followed> {
+  return followBeside(0, ...answers);
+}
+
 describe('following the store', () => {
   it('lists once and watches from there, no faster than its pace', async () => {
     const followed = await follow(batch(10, server('s1', 9)), batch(12, server('s2', 12)));
@@ -162,6 +195,48 @@
     assert.deepEqual(followed.ids(), ['s1']);
   });
 
+  it('holds removals back after an outage that only another call has noticed', async () => {
+    const followed = await follow(batch(10, server('s1', 8)));
+    await followed.pass(600);
+    followed.contact.failed('renew', 'no answer');
+    followed.source.answer(batch(12, gone('s1', 12)));
+    followed.clock.advance(400);
+    followed.clock.advance(4_000);
+    followed.contact.answered();
+    await followed.pass(600);
+    assert.deepEqual(followed.ids(), ['s1']);
+  });
+
+  it('takes a removal at once where only a watch was cut, however long that had waited', async () => {
+    const followed = await followBeside(24, batch(10, server('s1', 8)));
+    await followed.pass(500);
+    followed.clock.advance(9_000);
+    followed.contact.answered();
+    followed.contact.failed('server', 'cut');
+    followed.contact.answered();
+    await followed.pass(500);
+    followed.source.answer(batch(12, gone('s1', 12)));
+    await followed.pass(600);
+    assert.deepEqual(followed.ids(), []);
+  });
+
+  it('asks the store less often the more entries pass on what they learn', async () => {
+    const alone = await followBeside(0, batch(10));
+    await alone.pass(5_000);
+    assert.deepEqual(new Set(alone.source.waits), new Set([1_000]));
+    const among = await followBeside(24, batch(10));
+    await among.pass(20_000);
+    const { waits } = among.source;
+    assert.ok(Math.max(...waits) > 8_000 && Math.max(...waits) <= 12_500);
+    assert.ok(Math.min(...waits) < 5_000, 'waits differ, so that some watch ends soon');
+  });
+
+  it('tells of changes that a watch brought, and of nothing else', async () => {
+    const followed = await follow(batch(10, server('s1', 9)), batch(12, server('s2', 12)), batch(13));
+    await followed.pass(1_500);
+    assert.equal(followed.news(), 1);
+  });
+
   it('takes a removal at once while the store is well', async () => {
     const followed = await follow(batch(10, server('s1', 8)), batch(12, gone('s1', 12)));
     await followed.pass(500);
@@ -200,12 +275,12 @@
       return Promise.resolve(isLapsed ? err({ kind: SourceErrorKind.LeaseEnded, message: '404' }) : ok());
     };
     const member = { name: 'entry-1', address: '10.0.0.1:1', dataCentre: 'bagmati-a' };
-    createRegistrar(member, source, clock, logger).start();
+    createRegistrar(member, source, clock, logger, createStoreContact(clock, logger)).start();
     await settle();
-    clock.advance(3_000);
+    clock.advance(2_000);
     await settle();
     isLapsed = true;
-    clock.advance(3_000);
+    clock.advance(2_000);
     await settle();
     clock.advance(0);
     await settle();
--- a/packages/placement/src/load-book.ts
+++ b/packages/placement/src/load-book.ts
@@ -5,6 +5,7 @@
   type EngineParameters,
   type EngineState,
   idleEngine,
+  markUnobserved,
   newRequest,
   observeTokens,
   removeRequest,
@@ -64,6 +65,8 @@
   succeeded(server: string): void;
   /** Drops the jobs of an entry whose process is gone. */
   dropOwner(owner: string): void;
+  /** Notes that an entry is not heard any more: its jobs may go on, but nobody will tell of their ends. */
+  unheard(owner: string): void;
   /** Drops jobs long past their deadlines, and servers that are gone. */
   prune(known: ReadonlySet<string>, nowMs: number): void;
 }
@@ -186,6 +189,13 @@
         dropJobs(server, (placed) => placed.owner === owner);
       }
     },
+    unheard: (owner) => {
+      for (const [server, { jobs, engineState }] of loads) {
+        change(server, {
+          engineState: markUnobserved(engineState, (id) => jobs.get(id)?.owner === owner),
+        });
+      }
+    },
     prune: (known, nowMs) => {
       for (const [server, { jobs }] of loads) {
         if (!known.has(server) && jobs.size === 0) {
--- a/packages/registry/src/registry.ts
+++ b/packages/registry/src/registry.ts
@@ -147,6 +147,31 @@
   return [...registry.records.values()].filter((record) => record.revision > known[record.kind]);
 }
 
+/**
+ * Gives the revision of the newest record of each kind.
+ *
+ * @param registry - the registry
+ * @returns revisions of records; 0 for a kind without records
+ */
+export function newestRecords(registry: Registry): Record<RecordKind, number> {
+  const newest: Record<RecordKind, number> = { ...noRevisions };
+  for (const { kind, revision } of registry.records.values()) {
+    newest[kind] = Math.max(newest[kind], revision);
+  }
+  return newest;
+}
+
+/**
+ * Tells whether another node has records that are newer than what is known here.
+ *
+ * @param known - revisions up to which everything is known here
+ * @param announced - revision of the newest record of each kind at the other node
+ * @returns whether to ask that node for records
+ */
+export function isBehind(known: Revisions, announced: Readonly<Record<string, number>>): boolean {
+  return Object.values(RecordKind).some((kind) => (announced[kind] ?? 0) > known[kind]);
+}
+
 /**
  * Lists the backend servers that are registered.
  *
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -6,9 +6,11 @@
   type Catalogue,
   emptyRegistry,
   findRoute,
+  isBehind,
   listServers,
   mergeListing,
   mergeRecords,
+  newestRecords,
   RecordKind,
   type RegistryRecord,
   recordsSince,
@@ -115,4 +117,13 @@
     assert.equal(findRoute(routes, 'vanes.example', '/draft')?.name, undefined);
     assert.equal(findRoute(routes, 'other.example', '/drafts/7')?.name, undefined);
   });
+
+  it('tells a node that lacks a record from one that only looked at another moment', () => {
+    const ahead = mergeRecords(emptyRegistry, [server('s1', 5)], { [RecordKind.Server]: 9 });
+    const level = mergeRecords(emptyRegistry, [server('s1', 5)], { [RecordKind.Server]: 6 });
+    const behind = mergeRecords(emptyRegistry, [], { [RecordKind.Server]: 4 });
+    const announced = newestRecords(ahead);
+    assert.equal(isBehind(level.revisions, announced), false);
+    assert.equal(isBehind(behind.revisions, announced), true);
+  });
 });
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -30,6 +30,7 @@
   LoadNews = 40,
   RegistryPull = 41,
   RegistryNews = 42,
+  RegistryDigest = 43,
 }
 
 /** What a side knows of an execution token. */
@@ -142,6 +143,8 @@
   [FrameType.LoadNews]: z.object({ changes: z.array(z.unknown()).max(MAX_NEWS) }),
   /** Asks an entry for records of the registry that are newer than those known to the sender. */
   [FrameType.RegistryPull]: z.object({ revisions: z.record(z.string(), count) }),
+  /** Revision of the newest record of each kind that the sender knows. */
+  [FrameType.RegistryDigest]: z.object({ revisions: z.record(z.string(), count) }),
   [FrameType.RegistryNews]: z.object({
     revisions: z.record(z.string(), count),
     records: z.array(z.unknown()),
