--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -71,7 +71,7 @@
 /** Share of a limit at which lateness is certain. */
 const RISK_ENDS_AT = 1.15;
 /** Share of its value that a job loses when it comes late. */
-const LATE_LOSS = 0.8;
+export const LATE_LOSS = 0.8;
 /**
  * Cost of a short prompt on an engine without others of its kind, which the next long prompt would need, as a share of
  * value.
--- a/packages/placement/src/group-choice.ts
+++ b/packages/placement/src/group-choice.ts
@@ -25,6 +25,8 @@
   readonly partTokens: number;
   readonly firstEventMs: number;
   readonly cost: number;
+  /** The part of the cost that others bear. */
+  readonly harm: number;
 }
 
 /** Numbers of engines that are tried; more of them meet more other work. */
@@ -104,6 +106,7 @@
     helpers: helpers.map((prediction) => prediction.server),
     partTokens,
     firstEventMs,
+    harm,
     cost: harm + lossOfStart(unplaced(job), nowMs + firstEventMs) + HELPER_COST * size * valueOf(job),
   };
 }
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -1,5 +1,5 @@
 /** Decides where a request goes, from the registry and the load book. */
-import { type EngineParameters, prefillMs, slowEngine } from '@toucanbend/engine-model';
+import { type EngineParameters, slowEngine } from '@toucanbend/engine-model';
 import {
   type BackendServer,
   listServers,
@@ -9,7 +9,7 @@
 } from '@toucanbend/registry';
 import murmurhash from 'murmurhash';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
-import { chooseEngine, type EngineCandidate } from './engine-choice.js';
+import { chooseEngine, type EngineCandidate, LATE_LOSS } from './engine-choice.js';
 import { chooseGroup } from './group-choice.js';
 import { type Job, valueOf } from './job.js';
 import { isEligible, type LoadBook } from './load-book.js';
@@ -119,21 +119,52 @@
 const WAIT_COST = 0.25;
 /** Share of the target that is kept in hand while a job waits. */
 const WAIT_RESERVE = 0.2;
-/** Time between two looks for a better place, in milliseconds: about a pass of an engine. */
-const WAIT_STEP_MS = 40;
+/** Factor on the expected time to the first event that is kept in hand before the deadline. */
+const DEADLINE_RESERVE = 1.3;
+/** Time for a token of an answer, as a multiple of an idle engine's step: engines generate beside other work. */
+const GENERATING_FACTOR = 2;
+/** Time between two looks for a better place, as a share of the target, and its bounds in milliseconds. */
+const WAIT_STEP_SHARE = 0.03;
+const SHORTEST_WAIT_STEP_MS = 40;
+const LONGEST_WAIT_STEP_MS = 200;
+
+/** What is expected of the best place for a job. */
+interface Prospect {
+  readonly firstEventMs: number;
+  readonly cost: number;
+  /** The part of the cost that others bear. */
+  readonly harm: number;
+}
+
+function waitStepMs(job: Job): number {
+  return Math.min(LONGEST_WAIT_STEP_MS, Math.max(SHORTEST_WAIT_STEP_MS, WAIT_STEP_SHARE * job.targetMs));
+}
 
 /**
  * Tells how long a job should wait for a better place.
  *
  * Answers the load pattern of a burst of long prompts while every engine serves short ones: a long prompt has seconds
- * until its target, in which engines become free; placed at once it would break the pauses of all streams there.
+ * until its target, in which engines become free; placed at once it would break the pauses of all streams there. Where
+ * it would break more than it is worth on time, it waits on and comes late. A short prompt waits only as long as it
+ * still comes on time.
  */
-function waitFor(job: Job, cost: number, aloneMs: number, nowMs: number): number {
-  if (job.generation === undefined || cost < WAIT_COST * valueOf(job)) {
+function waitFor(engine: EngineParameters, job: Job, best: Prospect, nowMs: number): number {
+  const value = valueOf(job);
+  if (best.cost < WAIT_COST * value) {
+    return 0;
+  }
+  const stepMs = waitStepMs(job);
+  const slackMs = job.arrivedAtMs + job.targetMs * (1 - WAIT_RESERVE) - nowMs - best.firstEventMs;
+  if (slackMs > 0) {
+    return Math.min(slackMs, stepMs);
+  }
+  const comesLate = nowMs + best.firstEventMs > job.arrivedAtMs + job.targetMs;
+  if (best.harm <= (comesLate ? WAIT_COST : LATE_LOSS) * value) {
     return 0;
   }
-  const slackMs = job.arrivedAtMs + job.targetMs * (1 - WAIT_RESERVE) - nowMs - aloneMs;
-  return Math.min(slackMs, WAIT_STEP_MS);
+  const generatingMs = (job.generation?.answerTokens ?? 0) * engine.stepMs * GENERATING_FACTOR;
+  const latestMs = job.deadlineAtMs - generatingMs - DEADLINE_RESERVE * best.firstEventMs;
+  return Math.min(Math.max(0, latestMs - nowMs), stepMs);
 }
 
 /** Share of an engine's memory up to which a prompt and its answer are sent to one engine. */
@@ -144,8 +175,21 @@
   return tokens > SINGLE_MEMORY_SHARE * engine.memoryTokens;
 }
 
+/** Share of a job's time in which it waits for memory: later it could not be prefilled and answered in the rest. */
+const MEMORY_WAIT_SHARE = 0.5;
+
+function memoryWaitEndsAtMs(job: Job): number {
+  return job.arrivedAtMs + MEMORY_WAIT_SHARE * (job.deadlineAtMs - job.arrivedAtMs);
+}
+
+/** Tells whether engines without other work could hold a prompt together. */
+function canHold(engines: number, engine: EngineParameters, job: Job): boolean {
+  return (job.generation?.promptTokens ?? 0) <= engines * SINGLE_MEMORY_SHARE * engine.memoryTokens;
+}
+
 function planGroup(
   servers: readonly BackendServer[],
+  engine: EngineParameters,
   candidates: readonly EngineCandidate[],
   job: Job,
   mayWait: boolean,
@@ -154,13 +198,13 @@
   const group = chooseGroup(candidates, job, nowMs);
   const server = servers.find((candidate) => candidate.id === group?.first);
   if (group === undefined || server === undefined) {
-    const leftMs = job.arrivedAtMs + job.targetMs - nowMs;
-    return leftMs > 0 && mayWait
-      ? { kind: DecisionKind.Wait, waitMs: Math.min(leftMs, WAIT_STEP_MS), cost: valueOf(job) }
+    const leftMs = mayWait && canHold(servers.length, engine, job) ? memoryWaitEndsAtMs(job) - nowMs : 0;
+    return leftMs > 0
+      ? { kind: DecisionKind.Wait, waitMs: Math.min(leftMs, waitStepMs(job)), cost: valueOf(job) }
       : refuse(RefusalReason.BeyondMemory, NO_SERVER_RETRY_MS);
   }
   const { partTokens, firstEventMs: expectedMs, cost } = group;
-  const waitMs = mayWait ? waitFor(job, cost, expectedMs, nowMs) : 0;
+  const waitMs = mayWait ? waitFor(engine, job, group, nowMs) : 0;
   if (waitMs > 0) {
     return { kind: DecisionKind.Wait, waitMs, cost };
   }
@@ -187,8 +231,7 @@
   if (nowMs + best.firstEventMs > job.deadlineAtMs) {
     return refuse(RefusalReason.TooLate, best.firstEventMs);
   }
-  const aloneMs = prefillMs(engine, 0, job.generation?.promptTokens ?? 0);
-  const waitMs = mayWait ? waitFor(job, best.cost, aloneMs, nowMs) : 0;
+  const waitMs = mayWait ? waitFor(engine, job, best, nowMs) : 0;
   return waitMs > 0
     ? { kind: DecisionKind.Wait, waitMs, cost: best.cost }
     : { kind: DecisionKind.Send, server, helpers: [], expectedMs: best.firstEventMs, cost: best.cost };
@@ -218,7 +261,7 @@
     };
   });
   return isBeyondMemory(engine, job)
-    ? planGroup(servers, candidates, job, inputs.mayWait, nowMs)
+    ? planGroup(servers, engine, candidates, job, inputs.mayWait, nowMs)
     : planSingle(servers, engine, candidates, job, inputs.mayWait, nowMs);
 }
 
