--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -39,6 +39,12 @@
 /** When a caller may try again at an entry without configuration: about the time in which one is read. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 
+/**
+ * Longest time that a request waits for the first configuration, in milliseconds: a process that has just started reads
+ * it in less, and a refused caller would come back later than that.
+ */
+const CONFIGURATION_WAIT_MS = 400;
+
 /** When a caller may try again at another entry. */
 const LEAVING_RETRY_MS = 20;
 
@@ -165,6 +171,7 @@
       response.once('finish', () => message.destroy());
       return;
     }
+    await this.#context.configured(CONFIGURATION_WAIT_MS);
     if (!this.#context.takesRequests()) {
       this.#reject(head, answer, EndReason.Leaving);
       return;
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -20,6 +20,8 @@
   readonly memory: EngineMemory;
   /** The registry as it is now. */
   readonly registry: () => Registry;
+  /** Resolves once a catalogue is known, or after a time in milliseconds. */
+  readonly configured: (waitMs: number) => Promise<void>;
   /** How many entries share the budget for repeats. */
   readonly entryCount: () => number;
   readonly isLeaving: () => boolean;
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -363,3 +363,15 @@
     assert.equal((await result).body, events(1, 2));
   });
 });
+
+describe('an entry that has just started', () => {
+  it('serves a request that came before its first configuration', async () => {
+    const server = await startScriptedServer(well);
+    const gateway = await startTestGateway([server.port], null, false, true);
+    open.push(server, gateway);
+    const { result } = callAs({ port: gateway.port, path: paths.repeatable, body: '' });
+    assert.equal(server.received.length, 0);
+    gateway.learn(catalogue);
+    assert.equal((await result).status, 200);
+  });
+});
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -119,6 +119,8 @@
   readonly callerPort: CallerPort;
   setLeaving(): void;
   refuseRequests(): void;
+  /** Makes a catalogue known. */
+  learn(value: Catalogue): void;
   close(): void;
 }
 
@@ -144,12 +146,14 @@
  * @param ports - ports of the servers, in order of preference while all are idle
  * @param known - the catalogue; null where none is known yet
  * @param useManualClock - whether time stands still unless a test moves it
+ * @param learnsLater - whether requests wait until the test makes a catalogue known
  * @returns the port, once it listens
  */
 export async function startTestGateway(
   ports: readonly number[],
   known: Catalogue | null = catalogue,
   useManualClock = false,
+  learnsLater = false,
 ): Promise<TestGateway> {
   const lines: DecisionLine[] = [];
   const clock = createManualClock();
@@ -159,7 +163,11 @@
   if (known !== null) {
     records.push({ kind: RecordKind.Catalogue, id: '', revision: 1, value: known });
   }
-  const registry: Registry = mergeRecords(emptyRegistry, records, {});
+  let registry: Registry = mergeRecords(emptyRegistry, records, {});
+  let learn = (): void => undefined;
+  const learned = new Promise<void>((resolve) => {
+    learn = resolve;
+  });
   const context: ForwardingContext = {
     clock: useManualClock ? clock : createSystemClock(),
     random: createRandom(1),
@@ -171,6 +179,7 @@
     retries: createRetryWindow({ ratio: 0.2, allowance: 100, windowMs: 10_000 }),
     memory: noMemory,
     registry: () => registry,
+    configured: () => (learnsLater ? learned : Promise.resolve()),
     entryCount: () => 1,
     isLeaving: () => isLeaving,
     takesRequests: () => takesRequests,
@@ -187,6 +196,11 @@
     refuseRequests: () => {
       takesRequests = false;
     },
+    learn: (value) => {
+      const record: RegistryRecord = { kind: RecordKind.Catalogue, id: '', revision: 2, value };
+      registry = mergeRecords(registry, [record], {});
+      learn();
+    },
     setLeaving: () => {
       isLeaving = true;
     },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
   createStoreContact,
   type FollowPace,
 } from '@toucanbend/membership';
-import { type Logger } from '@toucanbend/observability';
+import { type Logger, openOperatorPort } from '@toucanbend/observability';
 import { applyNews, createLoadBook, createRetryWindow, type RetryBound } from '@toucanbend/placement';
 import {
   type BackendServer,
@@ -30,6 +30,7 @@
   ServerState,
 } from '@toucanbend/registry';
 import { Registry as MetricsRegistry } from 'prom-client';
+import { registerGatewayMetrics } from './gateway-metrics.js';
 import { openReadyPort } from './ready-port.js';
 
 /** An address of this process. */
@@ -45,6 +46,8 @@
   readonly callers: ListenAddress;
   readonly ready: ListenAddress;
   readonly readyPath: string;
+  /** Where metrics and state are shown to operators; nowhere if absent. */
+  readonly operators: ListenAddress | undefined;
   readonly retryBound: RetryBound;
   /** Time from the signal to stop until the process is ended from outside, in milliseconds. */
   readonly graceMs: number;
@@ -113,8 +116,40 @@
   }
 }
 
-function hasServers(registry: Registry): boolean {
-  return listServers(registry).some((server) => server.state === ServerState.Ready);
+function readyServers(registry: Registry): BackendServer[] {
+  return listServers(registry).filter((server) => server.state === ServerState.Ready);
+}
+
+function statusOf(registry: Registry): object {
+  return {
+    catalogue: registry.catalogue?.version ?? 0,
+    revisions: registry.revisions,
+    servers: listServers(registry).map(describeServer),
+    entries: listEntries(registry),
+  };
+}
+
+interface OperatorSources {
+  readonly metricsRegistry: MetricsRegistry;
+  readonly logger: Logger;
+  readonly isReady: () => boolean;
+  readonly status: () => object;
+}
+
+/** Opens the operators' port; the entry serves callers without it where the port is taken. */
+async function openOperators(address: ListenAddress, sources: OperatorSources): Promise<void> {
+  const { metricsRegistry, logger, isReady, status } = sources;
+  try {
+    await openOperatorPort({
+      ...address,
+      metrics: { text: () => metricsRegistry.metrics() },
+      logger,
+      isReady,
+      status,
+    });
+  } catch (error) {
+    logger.warn('operators port not opened', { ...address, error: String(error) });
+  }
 }
 
 /**
@@ -147,17 +182,26 @@
     onGone: book.dropOwner,
     onUnheard: book.unheard,
   });
+  let announceConfigured = (): void => undefined;
+  const configured = new Promise<void>((resolve) => {
+    announceConfigured = resolve;
+  });
+  const metricsRegistry = new MetricsRegistry();
   const context: ForwardingContext = {
     clock,
     random,
     logger,
-    metrics: createForwardingMetrics(new MetricsRegistry()),
+    metrics: createForwardingMetrics(metricsRegistry),
     dialect: options.dialect,
     memory: options.memory,
     planner: { entry: member.name, dataCentre: member.dataCentre, crossRoundTripMs: CROSS_ROUND_TRIP_MS },
     book,
     retries: createRetryWindow(options.retryBound),
     registry: holder.current,
+    configured: (waitMs) =>
+      holder.current().catalogue === undefined
+        ? Promise.race([configured, new Promise<void>((resolve) => clock.after(waitMs, resolve))])
+        : Promise.resolve(),
     entryCount: () => Math.max(1, listEntries(holder.current()).length),
     isLeaving: () => isLeaving,
     takesRequests: () => !isClosed,
@@ -169,15 +213,13 @@
     logChanges(logger, after, before);
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
       port.applyLimits(after.catalogue);
+      announceConfigured();
     }
   });
   const isReady = (): boolean => {
     const registry = holder.current();
-    return !isLeaving && registry.catalogue !== undefined && hasServers(registry);
+    return !isLeaving && registry.catalogue !== undefined && readyServers(registry).length > 0;
   };
-  await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
-  await port.listen(options.callers.host, options.callers.port);
-  await peers.start();
   const contact = createStoreContact(clock, logger);
   const follower = createFollower({
     source,
@@ -191,7 +233,21 @@
     onNews: peers.announce.bind(peers),
   });
   const registrar = createRegistrar(member, source, clock, logger, contact);
+  // The store's answers come while the ports are opened.
   follower.start();
+  registerGatewayMetrics(metricsRegistry, {
+    requestsInFlight: port.inFlight,
+    linkedEntries: peers.linkCount.bind(peers),
+    knownEntries: () => listEntries(holder.current()).length,
+    readyServers: () => readyServers(holder.current()).length,
+    catalogueVersion: () => holder.current().catalogue?.version ?? 0,
+    storeAnswers: () => (contact.isWell() ? 1 : 0),
+    storeCalls: () => contact.counts().calls,
+    failedStoreCalls: () => contact.counts().failures,
+  });
+  await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
+  await port.listen(options.callers.host, options.callers.port);
+  await peers.start();
   registrar.start();
   const prune = (): void => {
     book.prune(new Set(listServers(holder.current()).map((server) => server.id)), clock.now());
@@ -203,6 +259,14 @@
     clock.after(COMPARE_INTERVAL_MS, compare);
   };
   compare();
+  if (options.operators !== undefined) {
+    await openOperators(options.operators, {
+      metricsRegistry,
+      logger,
+      isReady,
+      status: () => statusOf(holder.current()),
+    });
+  }
   logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
 
   return {
--- a/packages/membership/src/store-contact.ts
+++ b/packages/membership/src/store-contact.ts
@@ -15,6 +15,8 @@
   failed(call: string, error: string): void;
   /** Whether the last call was answered. */
   isWell(): boolean;
+  /** Calls since the start, and those of them without a usable answer. */
+  counts(): { readonly calls: number; readonly failures: number };
   /** Adds one who learns that the store answers again, and for how long it gave no answer. */
   onRegained(handle: (silentMs: number) => void): void;
 }
@@ -30,8 +32,10 @@
   const handlers: ((silentMs: number) => void)[] = [];
   let lastAnswerAtMs: number | undefined;
   let failures = 0;
+  const counts = { calls: 0, failures: 0 };
   return {
     answered: () => {
+      counts.calls += 1;
       const nowMs = clock.now();
       const silentMs = lastAnswerAtMs === undefined ? 0 : nowMs - lastAnswerAtMs;
       const isRegained = failures > 0;
@@ -45,12 +49,15 @@
       }
     },
     failed: (call, error) => {
+      counts.calls += 1;
+      counts.failures += 1;
       if (failures === 0) {
         logger.warn('store lost', { call, error });
       }
       failures += 1;
     },
     isWell: () => failures === 0,
+    counts: () => ({ ...counts }),
     onRegained: (handle) => {
       handlers.push(handle);
     },
--- a/packages/observability/src/operator-port.ts
+++ b/packages/observability/src/operator-port.ts
@@ -7,7 +7,7 @@
 export interface OperatorPortOptions {
   readonly host: string;
   readonly port: number;
-  readonly metrics: Metrics;
+  readonly metrics: Pick<Metrics, 'text'>;
   readonly logger: Logger;
   readonly isReady: () => boolean;
   /** State of the process, as a value that can be written as JSON. */
