--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
   createRegistrar,
   createRegistryHolder,
   createStoreContact,
+  isReader,
   type FollowPace,
 } from '@toucanbend/membership';
 import { type Logger, openOperatorPort } from '@toucanbend/observability';
@@ -70,9 +71,9 @@
 
 /** Paces of following the store: servers change most, and requests must leave a leaving server in time. */
 const paces: Readonly<Record<RecordKind, FollowPace>> = {
-  [RecordKind.Catalogue]: { waitMs: 2_000, intervalMs: 200 },
-  [RecordKind.Server]: { waitMs: 2_000, intervalMs: 400 },
-  [RecordKind.Entry]: { waitMs: 5_000, intervalMs: 1_000 },
+  [RecordKind.Catalogue]: { waitMs: 2_000, intervalMs: 200, isShared: false },
+  [RecordKind.Server]: { waitMs: 2_000, intervalMs: 400, isShared: true },
+  [RecordKind.Entry]: { waitMs: 5_000, intervalMs: 1_000, isShared: true },
 };
 /** Time to a server in another data centre and back; replaced by measured times once there are some. */
 const CROSS_ROUND_TRIP_MS = 8;
@@ -167,6 +168,7 @@
   let isClosed = false;
   const engineOf = (name: string): EngineParameters | undefined =>
     holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
+  const contact = createStoreContact(clock, logger);
   const peers = createPeers({
     member,
     incarnation: randomUUID(),
@@ -176,6 +178,7 @@
     clock,
     random,
     logger,
+    isStoreWell: contact.isWell,
     onNews: (from, news) => {
       applyNews(book, from, news, engineOf, clock.now());
     },
@@ -220,7 +223,6 @@
     const registry = holder.current();
     return !isLeaving && registry.catalogue !== undefined && readyServers(registry).length > 0;
   };
-  const contact = createStoreContact(clock, logger);
   const follower = createFollower({
     source,
     holder,
@@ -230,9 +232,12 @@
     paces,
     contact,
     linkedEntries: peers.linkCount.bind(peers),
+    isReader: () => isReader(member.name, peers.readingPeers()),
     onNews: peers.announce.bind(peers),
   });
   const registrar = createRegistrar(member, source, clock, logger, contact);
+  contact.onLost(peers.announce.bind(peers));
+  contact.onRegained(peers.announce.bind(peers));
   // The store's answers come while the ports are opened.
   follower.start();
   registerGatewayMetrics(metricsRegistry, {
--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -15,6 +15,8 @@
   readonly waitMs: number;
   /** Least time between two calls, in milliseconds: calls to the store are limited for all nodes together. */
   readonly intervalMs: number;
+  /** Whether some entries read records of the kind for all. */
+  readonly isShared: boolean;
 }
 
 /** Follows the store. */
@@ -34,6 +36,8 @@
   readonly contact: StoreContact;
   /** How many other entries pass on what they learn from the store. */
   readonly linkedEntries: () => number;
+  /** Whether this entry is one of those that read shared kinds for all. */
+  readonly isReader: () => boolean;
   /** Learns that a watch brought changes. */
   readonly onNews: () => void;
 }
@@ -43,6 +47,8 @@
 const LONGEST_BACKOFF_MS = 800;
 /** Longest wait of a watch, in milliseconds: half of the longest that the store allows. */
 const LONGEST_WAIT_MS = 15_000;
+/** Time between two looks of an entry whether it has to read the store for others, in milliseconds. */
+const READER_CHECK_MS = 250;
 /** Share of the wait that is drawn at random, so that watches which a change ended together do not end together again. */
 const WAIT_SPREAD = 0.8;
 
@@ -71,6 +77,12 @@
   }
 
   async step(): Promise<void> {
+    if (this.#othersRead()) {
+      this.#cancelTimer = this.#options.clock.after(READER_CHECK_MS, () => {
+        void this.step();
+      });
+      return;
+    }
     const startedAtMs = this.#options.clock.now();
     const isWell = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision);
     if (this.#isStopped) {
@@ -84,6 +96,12 @@
     });
   }
 
+  /** Tells whether other entries read the store for this one, which has listed it once. */
+  #othersRead(): boolean {
+    const { paces, isReader } = this.#options;
+    return this.#revision !== undefined && paces[this.#kind].isShared && !isReader();
+  }
+
   async #list(): Promise<boolean> {
     const { source, holder, clock, logger } = this.#options;
     const listed = await source.list(this.#kind);
@@ -103,8 +121,9 @@
     return true;
   }
 
-  async #watch(revision: number): Promise<boolean> {
+  async #watch(ownRevision: number): Promise<boolean> {
     const { source, holder, clock, onNews } = this.#options;
+    const revision = Math.max(ownRevision, holder.current().revisions[this.#kind]);
     const changes = await source.watch(this.#kind, revision, this.#waitMs());
     if (changes.isErr()) {
       if (changes.error.kind === SourceErrorKind.HistoryLost) {
@@ -116,7 +135,8 @@
     this.#note('', true);
     this.#revision = Math.max(revision, changes.value.revision);
     const present = this.#guard.hold(changes.value.records, clock.now());
-    holder.merge(present, { [this.#kind]: this.#revision });
+    // Other entries learn no revision up to which a removal is still held back here.
+    holder.merge(present, this.#guard.isHolding() ? {} : { [this.#kind]: this.#revision });
     if (present.length > 0) {
       onNews();
     }
@@ -126,17 +146,21 @@
 
   #waitMs(): number {
     const { linkedEntries, paces, random } = this.#options;
-    const { waitMs } = paces[this.#kind];
+    const { waitMs, isShared } = paces[this.#kind];
+    if (isShared) {
+      return waitMs;
+    }
     const longestMs = Math.max(waitMs, Math.min(LONGEST_WAIT_MS, (waitMs * (linkedEntries() + 1)) / 2));
     return longestMs <= waitMs ? waitMs : longestMs * (1 - WAIT_SPREAD * random.fraction());
   }
 
   /** Removes what is still missing some time after an outage. */
   #releaseHeld(): void {
-    const { holder, clock } = this.#options;
+    const { holder, clock, onNews } = this.#options;
     const released: RegistryRecord[] = this.#guard.release(clock.now());
     if (released.length > 0) {
       holder.merge(released, {});
+      onNews();
     }
   }
 
--- a/packages/membership/src/lapse-guard.ts
+++ b/packages/membership/src/lapse-guard.ts
@@ -27,6 +27,8 @@
     listed: readonly RegistryRecord[],
     nowMs: number,
   ): RegistryRecord[];
+  /** Whether removals are held back. */
+  isHolding(): boolean;
   /** Gives the removals whose time has come. */
   release(nowMs: number): RegistryRecord[];
 }
@@ -75,6 +77,7 @@
       });
       return missing;
     },
+    isHolding: () => held.size > 0,
     release: (nowMs) => {
       if (nowMs < holdsUntilMs || held.size === 0) {
         return [];
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -7,7 +7,7 @@
   isBehind,
   listEntries,
   newestRecords,
-  type RecordKind,
+  RecordKind,
   recordsSince,
   type RegistryRecord,
   type Revisions,
@@ -38,6 +38,8 @@
   /** Tells some other entries which records are known here, and learns from them what is missing here. */
   compare(): void;
   linkCount(): number;
+  /** Names of the linked entries that reach the store, as far as they have told. */
+  readingPeers(): string[];
 }
 
 /** What links between entries need. */
@@ -51,6 +53,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** Whether the store answers this entry. */
+  readonly isStoreWell: () => boolean;
   readonly onNews: (from: string, news: LoadNews) => void;
   /** Learns that an entry's process is gone. */
   readonly onGone: (name: string) => void;
@@ -78,6 +82,8 @@
  * cheaper for the other entry, has come by then if it comes.
  */
 const PULL_GRACE_MS = 500;
+/** The same for what this entry does not read itself, or cannot. */
+const SHORT_PULL_GRACE_MS = 30;
 /** The same while nothing was read from the store yet. */
 const FIRST_PULL_GRACE_MS = 150;
 /** Longest delay of an announcement, in milliseconds: most entries learn of a change from their own watch meanwhile. */
@@ -90,6 +96,8 @@
   readonly #endpoint: EndpointOptions;
   #waiting: LoadNews[] = [];
   #dialled = new Map<string, Link>();
+  /** Entries that said that the store does not answer them. */
+  readonly #cutOff = new Set<string>();
   readonly #incarnations = new Map<string, string>();
   #isStopped = false;
   #announces = false;
@@ -164,6 +172,10 @@
     return this.#dialled.size;
   }
 
+  readingPeers(): string[] {
+    return [...this.#dialled.keys()].filter((name) => !this.#cutOff.has(name));
+  }
+
   #flush(): void {
     const nowMs = this.#options.clock.now();
     const changes = this.#waiting.map((news) => encodeNews(news, nowMs));
@@ -184,8 +196,9 @@
 
   #sendDigest(links: readonly Link[]): void {
     const revisions = newestRecords(this.#options.holder.current());
+    const isStoreWell = this.#options.isStoreWell();
     for (const link of links) {
-      link.send({ type: FrameType.RegistryDigest, revisions });
+      link.send({ type: FrameType.RegistryDigest, revisions, isStoreWell });
     }
   }
 
@@ -196,8 +209,7 @@
       return;
     }
     this.#pulls = true;
-    const isFirst = holder.current().catalogue === undefined;
-    clock.after(isFirst ? FIRST_PULL_GRACE_MS : PULL_GRACE_MS, () => {
+    clock.after(this.#pullGraceMs(announced), () => {
       this.#pulls = false;
       const { revisions } = holder.current();
       if (isBehind(revisions, announced)) {
@@ -206,6 +218,16 @@
     });
   }
 
+  #pullGraceMs(announced: Readonly<Record<string, number>>): number {
+    const { holder, isStoreWell } = this.#options;
+    const { catalogue, revisions } = holder.current();
+    if (catalogue === undefined) {
+      return FIRST_PULL_GRACE_MS;
+    }
+    const lacksCatalogue = (announced[RecordKind.Catalogue] ?? 0) > revisions[RecordKind.Catalogue];
+    return lacksCatalogue && isStoreWell() ? PULL_GRACE_MS : SHORT_PULL_GRACE_MS;
+  }
+
   #dialAll(): void {
     this.#dialMissing();
     if (!this.#isStopped) {
@@ -285,6 +307,7 @@
         break;
       }
       case FrameType.RegistryDigest:
+        this.#cutOff[frame.isStoreWell ? 'delete' : 'add'](link.peer.node);
         this.#pullLater(link, frame.revisions);
         break;
       case FrameType.RegistryNews:
--- a/packages/membership/src/store-contact.ts
+++ b/packages/membership/src/store-contact.ts
@@ -19,6 +19,8 @@
   counts(): { readonly calls: number; readonly failures: number };
   /** Adds one who learns that the store answers again, and for how long it gave no answer. */
   onRegained(handle: (silentMs: number) => void): void;
+  /** Adds one who learns that the store is lost. */
+  onLost(handle: () => void): void;
 }
 
 /**
@@ -30,6 +32,7 @@
  */
 export function createStoreContact(clock: Clock, logger: Logger): StoreContact {
   const handlers: ((silentMs: number) => void)[] = [];
+  const lostHandlers: (() => void)[] = [];
   let lastAnswerAtMs: number | undefined;
   let failures = 0;
   const counts = { calls: 0, failures: 0 };
@@ -51,15 +54,21 @@
     failed: (call, error) => {
       counts.calls += 1;
       counts.failures += 1;
-      if (failures === 0) {
+      failures += 1;
+      if (failures === 1) {
         logger.warn('store lost', { call, error });
+        lostHandlers.forEach((handle) => {
+          handle();
+        });
       }
-      failures += 1;
     },
     isWell: () => failures === 0,
     counts: () => ({ ...counts }),
     onRegained: (handle) => {
       handlers.push(handle);
     },
+    onLost: (handle) => {
+      lostHandlers.push(handle);
+    },
   };
 }
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -8,6 +8,7 @@
   createRegistrar,
   createRegistryHolder,
   createStoreContact,
+  isReader,
   type StoreContact,
 } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
@@ -26,7 +27,7 @@
 
 const ignore = (): void => undefined;
 const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
-const pace = { waitMs: 1_000, intervalMs: 500 };
+const pace = { waitMs: 1_000, intervalMs: 500, isShared: false };
 
 function server(id: string, revision: number): RegistryRecord {
   const value: BackendServer = {
@@ -98,19 +99,29 @@
   news(): number;
   readonly clock: ManualClock;
   ids(): string[];
+  /** Takes records from another entry. */
+  learn(...records: readonly RegistryRecord[]): void;
   /** Moves time on in steps, and lets what is due happen. */
   pass(ms: number): Promise<void>;
 }
 
 const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
-async function followBeside(linkedEntries: number, ...answers: readonly Answer[]): Promise<Followed> {
+interface Surroundings {
+  readonly linkedEntries: number;
+  readonly isShared: boolean;
+  readonly isReader: () => boolean;
+}
+
+const alone: Surroundings = { linkedEntries: 0, isShared: false, isReader: () => true };
+
+async function followIn(surroundings: Surroundings, ...answers: readonly Answer[]): Promise<Followed> {
   const source = new ScriptedSource(answers);
   const clock = createManualClock();
   const holder = createRegistryHolder();
   const paces = {
     [RecordKind.Catalogue]: pace,
-    [RecordKind.Server]: pace,
+    [RecordKind.Server]: { ...pace, isShared: surroundings.isShared },
     [RecordKind.Entry]: pace,
   };
   const contact = createStoreContact(clock, logger);
@@ -123,7 +134,8 @@
     logger,
     paces,
     contact,
-    linkedEntries: () => linkedEntries,
+    linkedEntries: () => surroundings.linkedEntries,
+    isReader: surroundings.isReader,
     onNews: () => {
       news += 1;
     },
@@ -139,6 +151,9 @@
       listServers(holder.current())
         .map((known) => known.id)
         .sort(),
+    learn: (...records) => {
+      holder.merge(records, { [RecordKind.Server]: Math.max(...records.map((record) => record.revision)) });
+    },
     pass: async (ms) => {
       for (let passed = 0; passed < ms; passed += 100) {
         clock.advance(100);
@@ -149,7 +164,11 @@
 }
 
 function follow(...answers: readonly Answer[]): Promise<Followed> {
-  return followBeside(0, ...answers);
+  return followIn(alone, ...answers);
+}
+
+function followBeside(linkedEntries: number, ...answers: readonly Answer[]): Promise<Followed> {
+  return followIn({ ...alone, linkedEntries }, ...answers);
 }
 
 describe('following the store', () => {
@@ -221,9 +240,9 @@
   });
 
   it('asks the store less often the more entries pass on what they learn', async () => {
-    const alone = await followBeside(0, batch(10));
-    await alone.pass(5_000);
-    assert.deepEqual(new Set(alone.source.waits), new Set([1_000]));
+    const single = await followBeside(0, batch(10));
+    await single.pass(5_000);
+    assert.deepEqual(new Set(single.source.waits), new Set([1_000]));
     const among = await followBeside(24, batch(10));
     await among.pass(20_000);
     const { waits } = among.source;
@@ -231,6 +250,34 @@
     assert.ok(Math.min(...waits) < 5_000, 'waits differ, so that some watch ends soon');
   });
 
+  it('makes no calls where other entries read, and goes on from what they told once they no longer do', async () => {
+    let reads = false;
+    const surroundings = { linkedEntries: 24, isShared: true, isReader: () => reads };
+    const followed = await followIn(surroundings, batch(10, server('s1', 9)));
+    await followed.pass(5_000);
+    assert.deepEqual(followed.source.calls, ['list']);
+    followed.learn(server('s2', 42));
+    reads = true;
+    await followed.pass(600);
+    assert.deepEqual(followed.source.calls, ['list', 'watch 42']);
+  });
+
+  it('has three readers among any entries, and others as soon as these are missing', () => {
+    const names = Array.from({ length: 25 }, (_, index) => `entry-${String(index)}`);
+    const readersOf = (linked: readonly string[]): string[] =>
+      linked.filter((name) =>
+        isReader(
+          name,
+          linked.filter((other) => other !== name),
+        ),
+      );
+    const readers = readersOf(names);
+    assert.equal(readers.length, 3);
+    const rest = names.filter((name) => !readers.includes(name));
+    assert.equal(readersOf(rest).length, 3);
+    assert.ok(isReader('entry-1', []));
+  });
+
   it('tells of changes that a watch brought, and of nothing else', async () => {
     const followed = await follow(batch(10, server('s1', 9)), batch(12, server('s2', 12)), batch(13));
     await followed.pass(1_500);
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -143,8 +143,8 @@
   [FrameType.LoadNews]: z.object({ changes: z.array(z.unknown()).max(MAX_NEWS) }),
   /** Asks an entry for records of the registry that are newer than those known to the sender. */
   [FrameType.RegistryPull]: z.object({ revisions: z.record(z.string(), count) }),
-  /** Revision of the newest record of each kind that the sender knows. */
-  [FrameType.RegistryDigest]: z.object({ revisions: z.record(z.string(), count) }),
+  /** Revision of the newest record of each kind that the sender knows, and whether the store answers it. */
+  [FrameType.RegistryDigest]: z.object({ revisions: z.record(z.string(), count), isStoreWell: z.boolean() }),
   [FrameType.RegistryNews]: z.object({
     revisions: z.record(z.string(), count),
     records: z.array(z.unknown()),
