--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -20,6 +20,8 @@
   CallerGone = 'caller_gone',
   StreamBroken = 'stream_broken',
   Leaving = 'leaving',
+  /** An exception in this process. */
+  InternalFault = 'internal_fault',
 }
 
 /** How a request ended. */
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -221,11 +221,28 @@
     const record = (result: ForwardResult): void => {
       this.#record(request.head, request.rank, result.end, describeAnswer(request, result.timing));
     };
+    const fail = this.#failInternally.bind(this, request, answer);
     startProcess(function* () {
-      record(yield* serve());
+      try {
+        record(yield* serve());
+      } catch (error) {
+        fail(error);
+      }
     });
   }
 
+  /** Ends one request whose process has a fault; what its attempts did is not known, so that it may have run. */
+  #failInternally(request: CallerRequest, answer: CallerAnswer, error: unknown): void {
+    const end = { outcome: Outcome.Unknown, reason: EndReason.InternalFault, retryAfterMs: 0 };
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.#context.logger.error('request failed by a fault of this process', {
+      request: request.head.requestId,
+      error: detail,
+    });
+    answer.fail(end);
+    this.#record(request.head, request.rank, end);
+  }
+
   #reject(head: CallerHead, answer: CallerAnswer, reason: EndReason): void {
     const end = { outcome: Outcome.NotRun, reason, retryAfterMs: retryAfter[reason] ?? 0 };
     answer.fail(end);
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -184,11 +184,16 @@
       return undefined;
     }
     this.#placedAtMs = clock.now();
-    const attempt = this.#start(server, helpers);
-    const result = yield* this.#follow(server, attempt, this.#placedAtMs);
-    attempt.cancel();
-    reserved.release();
-    this.#remove(server, helpers);
+    let attempt: Attempt | undefined;
+    let result: AttemptResult;
+    try {
+      attempt = this.#start(server, helpers);
+      result = yield* this.#follow(server, attempt, this.#placedAtMs);
+    } finally {
+      attempt?.cancel();
+      reserved.release();
+      this.#remove(server, helpers);
+    }
     if (result.failure === undefined) {
       book.succeeded(server.id);
       return result.end;
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -375,3 +375,16 @@
     assert.equal((await result).status, 200);
   });
 });
+
+describe('an exception in the process of one request', () => {
+  it('ends that request as one that may have run, and no other', async () => {
+    const fleet = await startFleet(well);
+    const port = fleet.gateway.port;
+    const faulty = await callAs({ port, path: paths.once, body: '', headers: { 'planted-fault': '1' } })
+      .result;
+    assert.equal(faulty.status, 502);
+    assert.equal((await fleet.call(paths.once)).status, 200);
+    const ends = fleet.gateway.lines.filter((line) => line.fields.reason === 'internal_fault');
+    assert.equal(ends.length, 1);
+  });
+});
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -37,6 +37,9 @@
     prompt: undefined,
   }),
   writeAttempt: (callerHeaders, attempt) => {
+    if (callerHeaders.includes('planted-fault')) {
+      throw new Error('a fault that a test has planted');
+    }
     const written: string[] = [];
     for (let index = 0; index + 1 < callerHeaders.length; index += 2) {
       const name = callerHeaders[index] ?? '';
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -1,4 +1,5 @@
 /** Links between entries: each entry dials all others, tells them what it has placed, and asks them for news. */
+import { type Server } from 'node:net';
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import { decodeNews, encodeNews, type LoadNews } from '@toucanbend/placement';
@@ -84,7 +85,7 @@
 const PULL_GRACE_MS = 500;
 /** The same for what this entry does not read itself, or cannot. */
 const SHORT_PULL_GRACE_MS = 30;
-/** The same while nothing was read from the store yet. */
+/** The same while nothing was read from a store that has not failed yet. */
 const FIRST_PULL_GRACE_MS = 150;
 /** Longest delay of an announcement, in milliseconds: most entries learn of a change from their own watch meanwhile. */
 const ANNOUNCE_DELAY_MS = 120;
@@ -99,6 +100,8 @@
   /** Entries that said that the store does not answer them. */
   readonly #cutOff = new Set<string>();
   readonly #incarnations = new Map<string, string>();
+  #server: Server | undefined;
+  readonly #accepted = new Set<Link>();
   #isStopped = false;
   #announces = false;
   #pulls = false;
@@ -125,9 +128,13 @@
   }
 
   async start(): Promise<void> {
-    await listenForLinks(parseAddress(this.#options.member.address), this.#endpoint, (link) => {
-      this.#adoptAccepted(link);
-    });
+    this.#server = await listenForLinks(
+      parseAddress(this.#options.member.address),
+      this.#endpoint,
+      (link) => {
+        this.#adoptAccepted(link);
+      },
+    );
     this.#dialAll();
   }
 
@@ -135,6 +142,10 @@
     this.#isStopped = true;
     this.#cancelDial();
     this.#pool.closeAll();
+    this.#server?.close();
+    this.#accepted.forEach((link) => {
+      link.close();
+    });
   }
 
   tell(news: LoadNews): void {
@@ -222,7 +233,7 @@
     const { holder, isStoreWell } = this.#options;
     const { catalogue, revisions } = holder.current();
     if (catalogue === undefined) {
-      return FIRST_PULL_GRACE_MS;
+      return isStoreWell() ? FIRST_PULL_GRACE_MS : SHORT_PULL_GRACE_MS;
     }
     const lacksCatalogue = (announced[RecordKind.Catalogue] ?? 0) > revisions[RecordKind.Catalogue];
     return lacksCatalogue && isStoreWell() ? PULL_GRACE_MS : SHORT_PULL_GRACE_MS;
@@ -272,9 +283,14 @@
   }
 
   #adoptAccepted(link: Link): void {
-    this.#noteIncarnation(link.peer.node, link.peer.incarnation);
+    this.#accepted.add(link);
+    link.onEnd(() => {
+      this.#accepted.delete(link);
+    });
     link.setActive(true);
     this.#serve(link);
+    // An entry that is not registered yet has no other way to learn what is known here.
+    this.#sendDigest([link]);
     // A peer that has just come up is dialled at once, not at the next look.
     this.#dialMissing();
   }
