--- a/fakes/relay.ts
+++ b/fakes/relay.ts
@@ -91,39 +91,72 @@
   forward(state, socket, target, socket);
 }
 
+/** Running relays. */
+export interface Relays {
+  /** Changes the behaviour of the routes of a name. */
+  order(order: RelayOrder): void;
+  close(): void;
+}
+
+function obey(state: RouteState, order: RelayOrder): void {
+  state.fault = order.fault === RelayFault.Forget ? RelayFault.None : (order.fault ?? state.fault);
+  state.delayMs = order.delayMs ?? state.delayMs;
+  if (order.fault === RelayFault.Forget) {
+    state.open.forEach((socket) => state.forgotten.add(socket));
+  } else if (order.fault === RelayFault.Cut) {
+    state.open.forEach((socket) => socket.destroy());
+  }
+}
+
 /**
- * Serves the stand-in.
+ * Starts relays in this process.
  *
- * @param options - control port and routes
- * @returns its port, once it listens
+ * @param routes - the routes
+ * @returns the relays
  */
-export function serveRelay(options: {
-  readonly port: number;
-  readonly routes: readonly RelayRoute[];
-}): Promise<number> {
-  const states = options.routes.map((route) => ({
+export function startRelays(routes: readonly RelayRoute[]): Relays {
+  const states = routes.map((route) => ({
     route,
     fault: RelayFault.None,
     delayMs: route.delayMs ?? 0,
     forgotten: new Set<Socket>(),
     open: new Set<Socket>(),
   }));
-  for (const state of states) {
+  const servers = states.map((state) =>
     createServer({ noDelay: true }, (socket) => {
       accept(state, socket);
-    }).listen(state.route.port, '127.0.0.1');
-  }
-  return serve(options.port, (_path, body, _request, response) => {
-    const order = JSON.parse(body.toString()) as RelayOrder;
-    for (const state of states.filter((other) => other.route.name === order.name)) {
-      state.fault = order.fault === RelayFault.Forget ? RelayFault.None : (order.fault ?? state.fault);
-      state.delayMs = order.delayMs ?? state.delayMs;
-      if (order.fault === RelayFault.Forget) {
-        state.open.forEach((socket) => state.forgotten.add(socket));
-      } else if (order.fault === RelayFault.Cut) {
+    }).listen(state.route.port, '127.0.0.1'),
+  );
+  return {
+    order: (order) => {
+      states
+        .filter((state) => state.route.name === order.name)
+        .forEach((state) => {
+          obey(state, order);
+        });
+    },
+    close: () => {
+      servers.forEach((server) => server.close());
+      states.forEach((state) => {
         state.open.forEach((socket) => socket.destroy());
-      }
-    }
+      });
+    },
+  };
+}
+
+/**
+ * Serves the stand-in as a process that is told over HTTP.
+ *
+ * @param options - control port and routes
+ * @returns its port, once it listens
+ */
+export function serveRelay(options: {
+  readonly port: number;
+  readonly routes: readonly RelayRoute[];
+}): Promise<number> {
+  const relays = startRelays(options.routes);
+  return serve(options.port, (_path, body, _request, response) => {
+    relays.order(JSON.parse(body.toString()) as RelayOrder);
     sendJson(response, {});
   });
 }
