--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,28 +18,23 @@
   isReader,
   type FollowPace,
 } from '@toucanbend/membership';
-import { type Logger, openOperatorPort } from '@toucanbend/observability';
+import { type Logger } from '@toucanbend/observability';
 import { applyNews, createLoadBook, createRetryWindow, type RetryBound } from '@toucanbend/placement';
 import {
-  type BackendServer,
   type EntryMember,
   listEntries,
   listServers,
   RecordKind,
-  type Registry,
   type RegistrySource,
-  ServerState,
 } from '@toucanbend/registry';
 import { Registry as MetricsRegistry } from 'prom-client';
+import { logChanges, readyServers, statusOf } from './changes.js';
+import { finishRequests } from './departure.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
+import { type ListenAddress } from './listen-address.js';
+import { openOperators } from './operators.js';
 import { openReadyPort } from './ready-port.js';
 
-/** An address of this process. */
-export interface ListenAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** What a gateway needs from its surroundings. */
 export interface GatewayOptions {
   readonly member: EntryMember;
@@ -82,77 +77,6 @@
 /** Share of the other entries from which on what they tell is enough to place work by. */
 const HEARD_SHARE = 0.5;
 const PRUNE_INTERVAL_MS = 1_000;
-/** Time in which the balancer notices that an entry takes no more connections. */
-const NOTICE_MS = 2_300;
-/** Time before the end of the grace in which what is still in flight is given up. */
-const GRACE_MARGIN_MS = 700;
-const LEAVE_CHECK_MS = 50;
-
-function describeServer(server: BackendServer): Record<string, string | number> {
-  const { id, service, host, port, dataCentre, state } = server;
-  return { id, service, address: `${host}:${String(port)}`, dataCentre, state };
-}
-
-function logChanges(logger: Logger, after: Registry, before: Registry): void {
-  if (after.catalogue !== before.catalogue && after.catalogue !== undefined) {
-    logger.info('catalogue in force', {
-      version: after.catalogue.version,
-      before: before.catalogue?.version ?? 0,
-      revision: after.revisions[RecordKind.Catalogue],
-    });
-  }
-  for (const [key, record] of after.records) {
-    const known = before.records.get(key);
-    if (record.kind !== RecordKind.Server || record === known) {
-      continue;
-    }
-    const stateBefore = known?.kind === RecordKind.Server ? known.value?.state : undefined;
-    if (record.value?.state !== stateBefore) {
-      logger.info('server changed', {
-        ...(record.value === undefined ? { id: record.id, state: 'gone' } : describeServer(record.value)),
-        before: stateBefore ?? 'unknown',
-        revision: record.revision,
-      });
-    }
-  }
-}
-
-function readyServers(registry: Registry): BackendServer[] {
-  return listServers(registry).filter((server) => server.state === ServerState.Ready);
-}
-
-function statusOf(registry: Registry): object {
-  return {
-    catalogue: registry.catalogue?.version ?? 0,
-    revisions: registry.revisions,
-    servers: listServers(registry).map(describeServer),
-    entries: listEntries(registry),
-  };
-}
-
-interface OperatorSources {
-  readonly metricsRegistry: MetricsRegistry;
-  readonly logger: Logger;
-  readonly isReady: () => boolean;
-  readonly status: () => object;
-}
-
-/** Opens the operators' port; the entry serves callers without it where the port is taken. */
-async function openOperators(address: ListenAddress, sources: OperatorSources): Promise<void> {
-  const { metricsRegistry, logger, isReady, status } = sources;
-  try {
-    await openOperatorPort({
-      ...address,
-      metrics: { text: () => metricsRegistry.metrics() },
-      logger,
-      isReady,
-      status,
-    });
-  } catch (error) {
-    logger.warn('operators port not opened', { ...address, error: String(error) });
-  }
-}
-
 /**
  * Starts a gateway.
  *
@@ -275,28 +199,15 @@
   logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
 
   return {
-    leave: () =>
-      new Promise((resolve) => {
-        isLeaving = true;
-        const startedAtMs = clock.now();
-        logger.info('leaving', { inFlight: port.inFlight() });
-        registrar.stop();
-        const check = (): void => {
-          const elapsedMs = clock.now() - startedAtMs;
-          if (elapsedMs >= NOTICE_MS && !isClosed) {
-            isClosed = true;
-            port.stopListening();
-          }
-          const isDone = elapsedMs >= NOTICE_MS && port.inFlight() === 0;
-          if (isDone || elapsedMs >= options.graceMs - GRACE_MARGIN_MS) {
-            logger.info('stopped', { inFlight: port.inFlight(), elapsedMs: Math.round(elapsedMs) });
-            follower.stop();
-            clock.after(LEAVE_CHECK_MS, resolve);
-            return;
-          }
-          clock.after(LEAVE_CHECK_MS, check);
-        };
-        check();
-      }),
+    leave: async () => {
+      isLeaving = true;
+      registrar.stop();
+      const close = (): void => {
+        isClosed = true;
+        port.stopListening();
+      };
+      await finishRequests({ clock, logger, graceMs: options.graceMs, inFlight: port.inFlight, close });
+      follower.stop();
+    },
   };
 }
--- /dev/null
+++ b/packages/gateway/src/listen-address.ts
@@ -0,0 +1,5 @@
+/** An address of this process. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -205,6 +205,14 @@
     }
   }
 
+  #noteStore(node: string, isStoreWell: boolean): void {
+    if (isStoreWell) {
+      this.#cutOff.delete(node);
+    } else {
+      this.#cutOff.add(node);
+    }
+  }
+
   #sendDigest(links: readonly Link[]): void {
     const revisions = newestRecords(this.#options.holder.current());
     const isStoreWell = this.#options.isStoreWell();
@@ -323,7 +331,7 @@
         break;
       }
       case FrameType.RegistryDigest:
-        this.#cutOff[frame.isStoreWell ? 'delete' : 'add'](link.peer.node);
+        this.#noteStore(link.peer.node, frame.isStoreWell);
         this.#pullLater(link, frame.revisions);
         break;
       case FrameType.RegistryNews:
