Orders about memory at engines are logged and counted

Change: a `memory` decision with the request's id for each reservation, each failed renewal and each release; a release says for how long the memory was held, how long the server had been silent, how many renewals there were and how many orders got no answer. Failures are not_sent, refused or unanswered. `toucanbend_memory_orders_total` counts orders. No logic changes: when orders are sent is as before.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -85,6 +85,8 @@
   #expectedMs = 0;
   #isWaiting = false;
   #placedAtMs = 0;
+  /** When the last event of the running attempt came, or the attempt began. */
+  #heardAtMs = 0;
   #timing: AnswerTiming = unmeasured;
 
   constructor(
@@ -177,21 +179,23 @@
     this.#attemptNumber += 1;
     this.#tried.add(server.id);
     this.#place(server, helpers);
-    const reserved = yield* settle(reserveParts(this.#context, this.#reservationName(), helpers));
+    const owner = { requestId: this.#request.head.requestId, name: this.#reservationName() };
+    const reserved = yield* settle(reserveParts(this.#context, owner, helpers));
     if (!('release' in reserved)) {
       this.#remove(server, helpers);
       this.#noteRefusedMemory(server, reserved);
       return undefined;
     }
     this.#placedAtMs = clock.now();
+    this.#heardAtMs = this.#placedAtMs;
     let attempt: Attempt | undefined;
     let result: AttemptResult;
     try {
       attempt = this.#start(server, helpers);
-      result = yield* this.#follow(server, attempt, this.#placedAtMs);
+      result = yield* this.#follow(server, attempt);
     } finally {
       attempt?.cancel();
-      reserved.release();
+      reserved.release(clock.now() - this.#heardAtMs);
       this.#remove(server, helpers);
     }
     if (result.failure === undefined) {
@@ -220,7 +224,7 @@
     this.#log(LogDecision.Retry, {
       failure: 'memory_refused',
       server: server.id,
-      refusedBy: errors.map((error) => `${error.server}: ${error.message}`),
+      refusedBy: errors.map((error) => `${error.server}: ${error.failure} ${error.message}`),
       attempt: this.#attemptNumber,
     });
   }
@@ -281,16 +285,15 @@
     });
   }
 
-  *#follow(server: BackendServer, attempt: Attempt, sentAtMs: number): ProcessBody<AttemptResult> {
+  *#follow(server: BackendServer, attempt: Attempt): ProcessBody<AttemptResult> {
     const follower =
       this.#request.route.form === AnswerForm.EventStream
         ? new StreamFollower(this.#context, this.#answer, server, this.#lastEventId)
-        : new WholeFollower(this.#context, this.#answer, server, sentAtMs);
-    let heardAtMs = sentAtMs;
+        : new WholeFollower(this.#context, this.#answer, server, this.#placedAtMs);
     let lookAtMs = 0;
     for (;;) {
       const { clock } = this.#context;
-      const silentAtMs = Math.max(lookAtMs, heardAtMs + this.#silenceMs(follower.hasStarted));
+      const silentAtMs = Math.max(lookAtMs, this.#heardAtMs + this.#silenceMs(follower.hasStarted));
       const waitMs = Math.min(this.#timeLeftMs(), silentAtMs - clock.now());
       const received = yield* receiveWithin(this.#inbox, clock, Math.max(0, waitMs));
       if (received.timedOut) {
@@ -323,9 +326,9 @@
           server,
           follower,
           clock.now(),
-          eventsBefore === 0 ? undefined : clock.now() - heardAtMs,
+          eventsBefore === 0 ? undefined : clock.now() - this.#heardAtMs,
         );
-        heardAtMs = clock.now();
+        this.#heardAtMs = clock.now();
       }
       if (result !== undefined) {
         this.#kept = follower.kept ?? this.#kept;
--- a/packages/forwarding/src/metrics.ts
+++ b/packages/forwarding/src/metrics.ts
@@ -3,6 +3,7 @@
 import { Counter, Histogram, type Registry as MetricsRegistry } from 'prom-client';
 import { type AttemptFailure } from './attempt.js';
 import { type EndReason } from './caller-answer.js';
+import { type MemoryOrder, type OrderFailure } from './memory.js';
 
 const FIRST_EVENT_BUCKETS_SECONDS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2.5, 5, 10, 15];
 const RATIO_BUCKETS = [0.25, 0.5, 0.8, 1, 1.25, 1.5, 2, 4, 8];
@@ -11,6 +12,8 @@
 export interface ForwardingMetrics {
   countEnd(rank: number, outcome: Outcome, reason: EndReason): void;
   countFailure(failure: AttemptFailure): void;
+  /** Counts an order about an engine's memory; `failure` is undefined where it was carried out. */
+  countOrder(order: MemoryOrder, failure: OrderFailure | undefined): void;
   observeFirstEvent(rank: number, elapsedMs: number): void;
   /** Observes the time to a first event beside what was predicted. */
   observePrediction(rank: number, expectedMs: number, actualMs: number): void;
@@ -36,6 +39,12 @@
     labelNames: ['failure'],
     registers,
   });
+  const orders = new Counter({
+    name: 'toucanbend_memory_orders_total',
+    help: 'Orders about memory at engines, by order and outcome.',
+    labelNames: ['order', 'outcome'],
+    registers,
+  });
   const firstEvent = new Histogram({
     name: 'toucanbend_forwarded_first_event_seconds',
     help: 'Time to the first event, or to a whole answer, by rank.',
@@ -57,6 +66,9 @@
     countFailure: (failure) => {
       failures.inc({ failure });
     },
+    countOrder: (order, failure) => {
+      orders.inc({ order, outcome: failure ?? 'done' });
+    },
     observeFirstEvent: (rank, elapsedMs) => {
       firstEvent.observe({ rank: String(rank) }, elapsedMs / 1_000);
     },
--- a/packages/forwarding/test/memory.test.ts
+++ b/packages/forwarding/test/memory.test.ts
@@ -2,7 +2,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock, type ManualClock } from '@toucanbend/core';
-import { type EngineMemory, type Reservation, reserveParts } from '@toucanbend/forwarding';
+import {
+  type EngineMemory,
+  type MemoryError,
+  OrderFailure,
+  type Reservation,
+  reserveParts,
+} from '@toucanbend/forwarding';
 import { type Logger } from '@toucanbend/observability';
 import { type Helper } from '@toucanbend/placement';
 import { type BackendServer, ServerState } from '@toucanbend/registry';
@@ -10,6 +16,12 @@
 
 const ignore = (): void => undefined;
 const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
+const metrics = { countOrder: ignore };
+const declined = (server: string): MemoryError => ({
+  server,
+  failure: OrderFailure.Refused,
+  message: 'status 409',
+});
 const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
 function helper(id: string, keepsPart = true): Helper {
@@ -40,21 +52,21 @@
   const memory: EngineMemory = {
     reserve: (server, name) => {
       calls.push(`reserve ${name} at ${server.id}`);
-      return Promise.resolve(
-        server.id === refusing.reserve ? err({ server: server.id, message: '409' }) : ok(),
-      );
+      return Promise.resolve(server.id === refusing.reserve ? err(declined(server.id)) : ok());
     },
     release: (server, name) => {
       calls.push(`release ${name} at ${server.id}`);
       const refuses = server.id === refusing.firstRelease && !hasRefusedRelease;
       hasRefusedRelease ||= refuses;
-      return Promise.resolve(refuses ? err({ server: server.id, message: 'no answer' }) : ok());
+      const error = { server: server.id, failure: OrderFailure.Unanswered, message: 'no answer' };
+      return Promise.resolve(refuses ? err(error) : ok());
     },
   };
   return {
     calls,
     clock,
-    reserve: (...helpers) => reserveParts({ clock, logger, memory }, 'r1', helpers),
+    reserve: (...helpers) =>
+      reserveParts({ clock, logger, memory, metrics }, { requestId: 'r', name: 'r1' }, helpers),
   };
 }
 
@@ -74,7 +86,7 @@
   it('is given back everywhere where one engine refuses, also where the answer may have been lost', async () => {
     const engines = createEngines({ reserve: 'e2' });
     const reserved = await engines.reserve(helper('e1'), helper('e2'));
-    assert.deepEqual(reserved, [{ server: 'e2', message: '409' }]);
+    assert.deepEqual(reserved, [declined('e2')]);
     assert.deepEqual(engines.calls.slice(2), ['release r1 at e1', 'release r1 at e2']);
   });
 
@@ -84,7 +96,7 @@
     engines.clock.advance(3_000);
     await settle();
     assert.equal(engines.calls.filter((call) => call.startsWith('reserve')).length, 3);
-    reserved.release();
+    reserved.release(0);
     engines.clock.advance(10_000);
     await settle();
     assert.deepEqual(engines.calls.slice(3), ['release r1 at e1']);
@@ -93,15 +105,15 @@
   it('is released once however often that is asked for', async () => {
     const engines = createEngines();
     const reserved = await reserveWell(engines, helper('e1'));
-    reserved.release();
-    reserved.release();
+    reserved.release(0);
+    reserved.release(0);
     assert.equal(engines.calls.filter((call) => call.startsWith('release')).length, 1);
   });
 
   it('is released once more where the first order got no answer', async () => {
     const engines = createEngines({ firstRelease: 'e1' });
     const reserved = await reserveWell(engines, helper('e1'));
-    reserved.release();
+    reserved.release(0);
     await settle();
     engines.clock.advance(300);
     await settle();
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -15,6 +15,7 @@
   Configuration = 'configuration',
   Leave = 'leave',
   Link = 'link',
+  Memory = 'memory',
 }
 
 /** A value in a log line. */
