--- /dev/null
+++ b/packages/forwarding/test/memory-return.test.ts
@@ -0,0 +1,113 @@
+/** Memory at engines is free again in time after its request, whatever the entry hears. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createManualClock } from '@toucanbend/core';
+import { MemoryOrder, type Reservation, reserveParts } from '@toucanbend/forwarding';
+import { type Logger } from '@toucanbend/observability';
+import { type Helper } from '@toucanbend/placement';
+import { ServerState } from '@toucanbend/registry';
+import { type LateOrder, TestEngines } from './support/engines.js';
+
+/** Time after the end of a request in which its memory must be free, in milliseconds. */
+const RETURN_MS = 4_000;
+/** Longest time for which memory that comes back after that may stay, in milliseconds. */
+const STRETCH_MS = 2_000;
+
+const ignore = (): void => undefined;
+const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
+
+function helper(id: string): Helper {
+  const server = {
+    id,
+    service: 'model',
+    host: '10.0.0.1',
+    port: 80,
+    dataCentre: 'bagmati-a',
+    slots: 4,
+    state: ServerState.Ready,
+    bornAtMs: 0,
+  };
+  return { server, partTokens: 100_000, keepsPart: true };
+}
+
+interface Held {
+  readonly engines: TestEngines;
+  readonly reservation: Reservation;
+}
+
+async function hold(late: readonly LateOrder[] = []): Promise<Held> {
+  const clock = createManualClock();
+  const engines = new TestEngines(clock, late);
+  const reserved = await reserveParts(
+    { clock, logger, memory: engines, metrics: { countOrder: ignore } },
+    { requestId: 'r', name: 'r-1' },
+    [helper('e1'), helper('e2')],
+  );
+  assert.ok('release' in reserved);
+  engines.use('r-1', true);
+  return { engines, reservation: reserved };
+}
+
+describe('memory of a request that ended at its server, which the entry does not hear of', () => {
+  it('is free in time though the server fell silent', async () => {
+    const { engines } = await hold();
+    await engines.pass(2_500);
+    engines.use('r-1', false);
+    await engines.pass(15_000);
+    assert.equal(engines.longestHoldAfter('r-1', 2_500 + RETURN_MS), 0);
+  });
+
+  it('is free in time where an engine does not tell what it holds', async () => {
+    const { engines } = await hold();
+    engines.silence('e1');
+    await engines.pass(2_500);
+    engines.use('r-1', false);
+    await engines.pass(15_000);
+    assert.equal(engines.longestHoldAfter('r-1', 2_500 + RETURN_MS), 0);
+  });
+
+  it('is free in time where no engine ever used it', async () => {
+    const { engines } = await hold();
+    engines.use('r-1', false);
+    await engines.pass(15_000);
+    assert.equal(engines.longestHoldAfter('r-1', RETURN_MS), 0);
+  });
+});
+
+describe('memory of a request that runs', () => {
+  it('is held until its release', async () => {
+    const { engines, reservation } = await hold();
+    await engines.pass(14_000);
+    assert.equal(engines.longestHoldAfter('r-1', 0), 14_000);
+    reservation.release(0);
+    engines.use('r-1', false);
+    await engines.pass(10_000);
+    assert.equal(engines.longestHoldAfter('r-1', 14_050), 0);
+  });
+});
+
+describe('memory whose renewal got no answer and is carried out late', () => {
+  for (const delayMs of [1_500, 4_000, 8_000, 12_000]) {
+    it(`does not come back for long after its release (${String(delayMs)} ms)`, async () => {
+      const late = { server: 'e1', order: MemoryOrder.Reserve, after: 1, delayMs } as const;
+      const { engines, reservation } = await hold([late]);
+      await engines.pass(1_600);
+      engines.use('r-1', false);
+      reservation.release(0);
+      await engines.pass(20_000);
+      assert.ok(engines.longestHoldAfter('r-1', 1_600 + RETURN_MS) < STRETCH_MS);
+    });
+  }
+});
+
+describe('a release that gets no answer', () => {
+  it('is sent again', async () => {
+    const late = { server: 'e1', order: MemoryOrder.Release, after: 0, delayMs: undefined } as const;
+    const { engines, reservation } = await hold([late]);
+    await engines.pass(1_100);
+    engines.use('r-1', false);
+    reservation.release(0);
+    await engines.pass(1_000);
+    assert.equal(engines.longestHoldAfter('r-1', 1_600), 0);
+  });
+});
