--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -32,8 +32,9 @@
 import { type AnswerTiming, describeDecision, unmeasured } from './description.js';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
-import { type MemoryError, reserveParts } from './memory.js';
+import { type MemoryError } from './memory.js';
 import { mayFollow, noAttempts, outcomeOf, recordAttempt } from './repeat.js';
+import { reserveParts } from './reservation.js';
 
 /** What a request's process hears of. */
 export type ForwardMessage =
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -11,3 +11,4 @@
 export * from './memory.js';
 export * from './metrics.js';
 export * from './repeat.js';
+export * from './reservation.js';
