Memory at engines is kept only while the engines show it in use

Where the server that has the request dies or goes dark without closing its connections, the entry hears nothing: it leaves no sooner than 6.5 s after sending, and waits until the deadline (15 s) where no better place is known. Meanwhile the request is over at the engines. The class: a lease renewed by what its holder expects, without a sign that the resource is in use.

Change: before each renewal the engine is asked what it holds. A renewal follows only if a request uses the memory; the hold is 3 s (three quarters of the bound in the settings, `free_ms`, in place of a constant of 3.5 s), looks come each second. Two idle looks in a row after use, or a hold that has run out, end the reservation everywhere, and the request looks for another place at once instead of after 6.5 s of silence. Where nothing may follow, it waits on for a late answer without holding memory. The decisions stand in renewal.ts and silence.ts.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -9,7 +9,8 @@
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type CallerHead } from './dialect.js';
-import { createForwardInbox, ForwardMessageType, forwardRequest, type ForwardResult } from './forward.js';
+import { createForwardInbox, ForwardMessageType } from './forward-message.js';
+import { forwardRequest, type ForwardResult } from './forward.js';
 import { describeAnswer } from './description.js';
 import { endToEndHeaders } from './headers.js';
 
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -18,6 +18,8 @@
   readonly book: LoadBook;
   readonly retries: RetryWindow;
   readonly memory: EngineMemory;
+  /** Time after the end of a request in which its memory at engines must be free, in milliseconds. */
+  readonly memoryReturnMs: number;
   /** The registry as it is now. */
   readonly registry: () => Registry;
   /** Resolves once a catalogue is known, or after a time in milliseconds. */
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,5 +1,5 @@
 /** The process of one request: it places it, follows its attempts, and answers the caller. */
-import { type Channel, createChannel, type ProcessBody, receiveWithin, settle } from '@toucanbend/channel';
+import { type Channel, type ProcessBody, receiveWithin, settle } from '@toucanbend/channel';
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind as LogDecision } from '@toucanbend/observability';
 import {
@@ -20,7 +20,7 @@
   type Registry,
   RepeatPolicy,
 } from '@toucanbend/registry';
-import { type Attempt, type AttemptEvent, AttemptFailure, startAttempt } from './attempt.js';
+import { type Attempt, AttemptFailure, startAttempt } from './attempt.js';
 import { type CallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
 import {
   type AttemptResult,
@@ -32,31 +32,14 @@
 import { type AnswerTiming, describeDecision, unmeasured } from './description.js';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
+import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
 import { type MemoryError } from './memory.js';
 import { mayFollow, noAttempts, outcomeOf, recordAttempt } from './repeat.js';
-import { reserveParts } from './reservation.js';
-
-/** What a request's process hears of. */
-export type ForwardMessage =
-  | { readonly type: ForwardMessageType.CallerGone }
-  | { readonly type: ForwardMessageType.Attempt; readonly attempt: number; readonly event: AttemptEvent };
-
-/** The kinds of {@link ForwardMessage}. */
-export enum ForwardMessageType {
-  CallerGone = 'caller_gone',
-  Attempt = 'attempt',
-}
+import { ReleaseCause, reserveParts } from './reservation.js';
+import { acceptedSilenceMs } from './silence.js';
 
 /** Longest time for a connection to a server: several round trips, far below a packet's retransmission. */
 const CONNECT_TIMEOUT_MS = 300;
-/** Time added to a prediction before a silent server is given up, in milliseconds. */
-const SILENCE_MARGIN_MS = 500;
-/** How many times the predicted time a first event may take before another server is tried. */
-const FIRST_EVENT_TOLERANCE = 3;
-/** How many times the accepted pause a stream may be silent before it goes on at another server. */
-const PAUSE_TOLERANCE = 4;
-/** Least silence of a stream that is acted on, in milliseconds: engines stall for longer than a pause at times. */
-const LEAST_SILENCE_MS = 1_200;
 /** Time between two looks for a better place while a server is silent, in milliseconds. */
 const SILENCE_STEP_MS = 250;
 /** How many times its target a moved request may take to its next event: a later one is not worth the move. */
@@ -88,6 +71,8 @@
   #placedAtMs = 0;
   /** When the last event of the running attempt came, or the attempt began. */
   #heardAtMs = 0;
+  /** Whether the engines do not use the running attempt's memory any more. */
+  #isMemoryIdle = false;
   #timing: AnswerTiming = unmeasured;
 
   constructor(
@@ -189,6 +174,11 @@
     }
     this.#placedAtMs = clock.now();
     this.#heardAtMs = this.#placedAtMs;
+    this.#isMemoryIdle = false;
+    const number = this.#attemptNumber;
+    reserved.onIdle(() => {
+      this.#inbox.send({ type: ForwardMessageType.MemoryIdle, attempt: number });
+    });
     let attempt: Attempt | undefined;
     let result: AttemptResult;
     try {
@@ -196,7 +186,7 @@
       result = yield* this.#follow(server, attempt);
     } finally {
       attempt?.cancel();
-      reserved.release(clock.now() - this.#heardAtMs);
+      reserved.release(ReleaseCause.Ended, clock.now() - this.#heardAtMs);
       this.#remove(server, helpers);
     }
     if (result.failure === undefined) {
@@ -294,7 +284,7 @@
     let lookAtMs = 0;
     for (;;) {
       const { clock } = this.#context;
-      const silentAtMs = Math.max(lookAtMs, this.#heardAtMs + this.#silenceMs(follower.hasStarted));
+      const silentAtMs = Math.max(lookAtMs, this.#heardAtMs + this.#silenceMs(follower));
       const waitMs = Math.min(this.#timeLeftMs(), silentAtMs - clock.now());
       const received = yield* receiveWithin(this.#inbox, clock, Math.max(0, waitMs));
       if (received.timedOut) {
@@ -307,7 +297,8 @@
           return { failure: AttemptFailure.NotSent, detail: 'no connection in time' };
         }
         if (this.#hasBetterPlace()) {
-          return { failure: AttemptFailure.InDoubt, detail: 'silent for too long' };
+          const detail = this.#isMemoryIdle ? 'engines do not use its memory' : 'silent for too long';
+          return { failure: AttemptFailure.InDoubt, detail };
         }
         lookAtMs = clock.now() + SILENCE_STEP_MS;
         continue;
@@ -319,6 +310,10 @@
       if (message.attempt !== this.#attemptNumber) {
         continue;
       }
+      if (message.type === ForwardMessageType.MemoryIdle) {
+        this.#isMemoryIdle = true;
+        continue;
+      }
       const eventsBefore = follower.eventsSeen;
       const result = follower.take(message.event, this.#mayRepeatErrors());
       this.#lastEventId = follower.lastEventId ?? this.#lastEventId;
@@ -382,15 +377,14 @@
     return isSoon && retries.canSpend(service.name, entryCount(), clock.now());
   }
 
-  /** How long a server may be silent before another one is tried; Infinity where none may be. */
-  #silenceMs(hasStarted: boolean): number {
+  #silenceMs(follower: Follower): number {
     const { route } = this.#request;
-    if (route.repeat === RepeatPolicy.Once || this.#attemptNumber >= route.attempts) {
-      return Number.POSITIVE_INFINITY;
-    }
-    return hasStarted
-      ? Math.max(LEAST_SILENCE_MS, PAUSE_TOLERANCE * route.targetPauseMs)
-      : Math.max(route.targetMs, FIRST_EVENT_TOLERANCE * this.#expectedMs) + SILENCE_MARGIN_MS;
+    return acceptedSilenceMs(route, {
+      isLast: route.repeat === RepeatPolicy.Once || this.#attemptNumber >= route.attempts,
+      hasStarted: follower.hasStarted,
+      expectedMs: this.#expectedMs,
+      isMemoryIdle: this.#isMemoryIdle,
+    });
   }
 
   #mayRepeatErrors(): boolean {
@@ -429,15 +423,6 @@
   readonly timing: AnswerTiming;
 }
 
-/**
- * Creates the inbox of a request's process.
- *
- * @returns the inbox
- */
-export function createForwardInbox(): Channel<ForwardMessage> {
-  return createChannel<ForwardMessage>();
-}
-
 /**
  * Forwards a request; used with `yield*`.
  *
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,7 @@
 export * from './context.js';
 export * from './dialect.js';
 export * from './event-splitter.js';
+export * from './forward-message.js';
 export * from './forward.js';
 export * from './headers.js';
 export * from './memory.js';
--- a/packages/forwarding/src/memory.ts
+++ b/packages/forwarding/src/memory.ts
@@ -26,6 +26,14 @@
   Release = 'release',
 }
 
+/** Memory that is set aside at an engine. */
+export interface HeldMemory {
+  /** Name of the reservation. */
+  readonly name: string;
+  /** Whether a request uses it. */
+  readonly isUsed: boolean;
+}
+
 /** Sets memory aside at engines. */
 export interface EngineMemory {
   /**
@@ -44,4 +52,11 @@
     holdMs: number,
   ): Promise<Result<void, MemoryError>>;
   release(server: BackendServer, name: string): Promise<Result<void, MemoryError>>;
+  /**
+   * Lists what is set aside at an engine, as of some hundred milliseconds ago.
+   *
+   * @param server - the engine
+   * @returns all reservations, or why they are not known
+   */
+  list(server: BackendServer): Promise<Result<readonly HeldMemory[], MemoryError>>;
 }
--- a/packages/forwarding/src/reservation.ts
+++ b/packages/forwarding/src/reservation.ts
@@ -5,21 +5,43 @@
 import { type Result } from 'neverthrow';
 import { type EngineMemory, type MemoryError, MemoryOrder, OrderFailure } from './memory.js';
 import { type ForwardingMetrics } from './metrics.js';
+import {
+  afterLook,
+  decideRenewal,
+  type KeptMemory,
+  MemoryUse,
+  RenewalDecision,
+  reservationTimes,
+  type ReservationTimes,
+} from './renewal.js';
 
 /** Memory that is set aside for one request. */
 export interface Reservation {
   /**
    * Gives everything back; calling it again has no effect.
    *
-   * @param silentMs - time since the last sign of the request's server, in milliseconds
+   * @param cause - why
+   * @param silentMs - time since the last sign of the request's server, in milliseconds, where there is one
    */
-  release(silentMs: number): void;
+  release(cause: ReleaseCause, silentMs?: number): void;
+  /**
+   * Adds one who learns that an engine does not use the memory any more; everything has been given back then.
+   *
+   * @param handle - called once at most
+   */
+  onIdle(handle: () => void): void;
+}
+
+/** Why memory is given back. */
+export enum ReleaseCause {
+  /** The attempt that it was for has ended. */
+  Ended = 'ended',
+  /** Not all engines had room. */
+  Incomplete = 'incomplete',
+  /** No request uses it. */
+  Idle = 'idle',
 }
 
-/** How long memory is kept without renewal: shorter than the time in which unused memory must be given back. */
-const HOLD_MS = 3_500;
-/** Time between renewals; two of them fit into the time for which memory is kept. */
-const RENEWAL_MS = 1_400;
 /** Pause before a failed release is sent once more, in milliseconds. */
 const RELEASE_RETRY_MS = 300;
 
@@ -29,6 +51,8 @@
   readonly logger: Logger;
   readonly memory: EngineMemory;
   readonly metrics: Pick<ForwardingMetrics, 'countOrder'>;
+  /** Time after the end of a request in which its memory must be free, in milliseconds. */
+  readonly memoryReturnMs: number;
 }
 
 /** The request that memory is set aside for. */
@@ -38,121 +62,173 @@
   readonly name: string;
 }
 
-/** Memory at several engines under one name. */
-class HeldParts implements Reservation {
+/** Memory at one engine. */
+class HeldPart {
   readonly #context: ReservationContext;
   readonly #owner: ReservationOwner;
-  readonly #keepers: readonly Helper[];
-  readonly #reservedAtMs: number;
+  readonly #helper: Helper;
+  readonly #times: ReservationTimes;
+  #kept: KeptMemory = { wasUsed: false, idleLooks: 0, heldUntilMs: 0 };
   #isReleased = false;
-  #renewals = 0;
-  #unanswered = 0;
   #cancelTimer = (): void => undefined;
+  renewals = 0;
+  unanswered = 0;
 
-  constructor(context: ReservationContext, owner: ReservationOwner, keepers: readonly Helper[]) {
+  constructor(context: ReservationContext, owner: ReservationOwner, helper: Helper) {
     this.#context = context;
     this.#owner = owner;
-    this.#keepers = keepers;
-    this.#reservedAtMs = context.clock.now();
-  }
-
-  async reserveAll(): Promise<readonly MemoryError[]> {
-    const results = await Promise.all(
-      this.#keepers.map((helper) => this.#reserve(MemoryOrder.Reserve, helper)),
-    );
-    const errors = results.flatMap((result) => (result.isErr() ? [result.error] : []));
-    if (this.#keepers.length > 0) {
-      this.#log(MemoryOrder.Reserve, {
-        at: this.#keepers.map((helper) => helper.server.id),
-        tokens: this.#keepers[0]?.partTokens ?? 0,
-        failures: errors.map((error) => `${error.server}: ${error.failure} ${error.message}`),
-      });
+    this.#helper = helper;
+    this.#times = reservationTimes(context.memoryReturnMs);
+  }
+
+  /** Sets memory aside, or renews it. */
+  async reserve(order: MemoryOrder.Reserve | MemoryOrder.Renew): Promise<Result<void, MemoryError>> {
+    const { server, partTokens } = this.#helper;
+    const { holdMs } = this.#times;
+    const result = await this.#context.memory.reserve(server, this.#owner.name, partTokens, holdMs);
+    if (result.isOk()) {
+      this.#kept = { ...this.#kept, heldUntilMs: this.#context.clock.now() + holdMs };
     }
-    return errors;
+    return this.#note(order, result);
   }
 
-  keepRenewing(): void {
-    if (this.#keepers.length === 0) {
+  /** Keeps the memory for as long as a request uses it; then tells so. */
+  keep(onIdle: () => void): void {
+    this.#lookAfter(this.#times.lookMs, onIdle);
+  }
+
+  async release(): Promise<void> {
+    this.#isReleased = true;
+    this.#cancelTimer();
+    const first = await this.#release();
+    if (first.isOk()) {
       return;
     }
-    this.#cancelTimer = this.#context.clock.after(RENEWAL_MS, () => {
-      this.#renewals += 1;
-      this.#keepers.forEach((helper) => {
-        void this.#renew(helper);
+    this.#context.clock.after(RELEASE_RETRY_MS, () => {
+      void this.#release().then((second) => {
+        if (second.isErr()) {
+          this.log(MemoryOrder.Release, { ...second.error });
+        }
       });
-      this.keepRenewing();
     });
   }
 
-  release(silentMs: number): void {
-    this.#cancelTimer();
-    if (!this.#isReleased && this.#keepers.length > 0) {
-      this.#isReleased = true;
-      this.#log(MemoryOrder.Release, {
-        heldMs: Math.round(this.#context.clock.now() - this.#reservedAtMs),
-        silentMs: Math.round(silentMs),
-        renewals: this.#renewals,
-        unanswered: this.#unanswered,
-      });
-      this.#keepers.forEach((helper) => {
-        void this.#releaseAt(helper);
-      });
-    }
+  log(order: MemoryOrder, fields: Readonly<Record<string, LogValue>>): void {
+    const { requestId, name } = this.#owner;
+    this.#context.logger.decision({
+      decision: DecisionKind.Memory,
+      request: requestId,
+      fields: { order, name, ...fields },
+    });
   }
 
-  async #renew(helper: Helper): Promise<void> {
-    const renewed = await this.#reserve(MemoryOrder.Renew, helper);
-    if (renewed.isErr()) {
-      this.#log(MemoryOrder.Renew, { ...renewed.error });
-    }
+  #lookAfter(delayMs: number, onIdle: () => void): void {
+    this.#cancelTimer = this.#context.clock.after(delayMs, () => {
+      void this.#look(onIdle);
+    });
+  }
+
+  async #look(onIdle: () => void): Promise<void> {
+    const use = await this.#use();
     if (this.#isReleased) {
-      await this.#releaseAt(helper);
+      return;
+    }
+    this.#kept = afterLook(this.#kept, use);
+    switch (decideRenewal(this.#kept, use, this.#context.clock.now())) {
+      case RenewalDecision.Renew:
+        this.#lookAfter(this.#times.lookMs, onIdle);
+        await this.#renew();
+        return;
+      case RenewalDecision.LookAgain:
+        this.#lookAfter(this.#times.idleLookMs, onIdle);
+        return;
+      case RenewalDecision.GiveUp:
+        this.log(MemoryOrder.Renew, { server: this.#helper.server.id, given: 'up', use, ...this.#kept });
+        onIdle();
     }
   }
 
-  async #releaseAt(helper: Helper): Promise<void> {
-    const first = await this.#release(helper);
-    if (first.isOk()) {
-      return;
+  async #use(): Promise<MemoryUse> {
+    const listed = await this.#context.memory.list(this.#helper.server);
+    if (listed.isErr()) {
+      return MemoryUse.Unknown;
     }
-    this.#context.clock.after(RELEASE_RETRY_MS, () => {
-      void this.#release(helper).then((second) => {
-        if (second.isErr()) {
-          this.#log(MemoryOrder.Release, { ...second.error });
-        }
-      });
-    });
+    const isUsed = listed.value.some((held) => held.name === this.#owner.name && held.isUsed);
+    return isUsed ? MemoryUse.Used : MemoryUse.Idle;
   }
 
-  async #reserve(order: MemoryOrder, helper: Helper): Promise<Result<void, MemoryError>> {
-    const { server, partTokens } = helper;
-    return this.#note(
-      order,
-      await this.#context.memory.reserve(server, this.#owner.name, partTokens, HOLD_MS),
-    );
+  async #renew(): Promise<void> {
+    this.renewals += 1;
+    const renewed = await this.reserve(MemoryOrder.Renew);
+    if (renewed.isErr()) {
+      this.log(MemoryOrder.Renew, { ...renewed.error });
+    }
+    if (this.#isReleased) {
+      await this.release();
+    }
   }
 
-  async #release(helper: Helper): Promise<Result<void, MemoryError>> {
-    return this.#note(
-      MemoryOrder.Release,
-      await this.#context.memory.release(helper.server, this.#owner.name),
-    );
+  async #release(): Promise<Result<void, MemoryError>> {
+    const { server } = this.#helper;
+    return this.#note(MemoryOrder.Release, await this.#context.memory.release(server, this.#owner.name));
   }
 
   #note(order: MemoryOrder, result: Result<void, MemoryError>): Result<void, MemoryError> {
     const failure = result.isErr() ? result.error.failure : undefined;
-    this.#unanswered += failure === OrderFailure.Unanswered ? 1 : 0;
+    this.unanswered += failure === OrderFailure.Unanswered ? 1 : 0;
     this.#context.metrics.countOrder(order, failure);
     return result;
   }
+}
 
-  #log(order: MemoryOrder, fields: Readonly<Record<string, LogValue>>): void {
-    const { requestId, name } = this.#owner;
-    this.#context.logger.decision({
-      decision: DecisionKind.Memory,
-      request: requestId,
-      fields: { order, name, ...fields },
+/** Memory at several engines under one name. */
+class HeldParts implements Reservation {
+  readonly #clock: Clock;
+  readonly #parts: readonly HeldPart[];
+  readonly #reservedAtMs: number;
+  #isReleased = false;
+  #handleIdle = (): void => undefined;
+
+  constructor(clock: Clock, parts: readonly HeldPart[]) {
+    this.#clock = clock;
+    this.#parts = parts;
+    this.#reservedAtMs = clock.now();
+  }
+
+  keep(): void {
+    this.#parts.forEach((part) => {
+      part.keep(() => {
+        this.#endIdle();
+      });
+    });
+  }
+
+  onIdle(handle: () => void): void {
+    this.#handleIdle = handle;
+  }
+
+  release(cause: ReleaseCause, silentMs?: number): void {
+    if (this.#isReleased) {
+      return;
+    }
+    this.#isReleased = true;
+    this.#parts[0]?.log(MemoryOrder.Release, {
+      cause,
+      heldMs: Math.round(this.#clock.now() - this.#reservedAtMs),
+      ...(silentMs === undefined ? {} : { silentMs: Math.round(silentMs) }),
+      renewals: this.#parts.reduce((sum, part) => sum + part.renewals, 0),
+      unanswered: this.#parts.reduce((sum, part) => sum + part.unanswered, 0),
     });
+    this.#parts.forEach((part) => {
+      void part.release();
+    });
+  }
+
+  #endIdle(): void {
+    if (!this.#isReleased) {
+      this.release(ReleaseCause.Idle);
+      this.#handleIdle();
+    }
   }
 }
 
@@ -170,13 +246,20 @@
   helpers: readonly Helper[],
 ): Promise<Reservation | readonly MemoryError[]> {
   const keepers = helpers.filter((helper) => helper.keepsPart);
-  const held = new HeldParts(context, owner, keepers);
-  const errors = await held.reserveAll();
+  const parts = keepers.map((helper) => new HeldPart(context, owner, helper));
+  const held = new HeldParts(context.clock, parts);
+  const results = await Promise.all(parts.map((part) => part.reserve(MemoryOrder.Reserve)));
+  const errors = results.flatMap((result) => (result.isErr() ? [result.error] : []));
+  parts[0]?.log(MemoryOrder.Reserve, {
+    at: keepers.map((helper) => helper.server.id),
+    tokens: keepers[0]?.partTokens ?? 0,
+    failures: errors.map((error) => `${error.server}: ${error.failure} ${error.message}`),
+  });
   if (errors.length > 0) {
     // An order whose answer was lost may still be carried out, so the memory is released everywhere.
-    held.release(0);
+    held.release(ReleaseCause.Incomplete);
     return errors;
   }
-  held.keepRenewing();
+  held.keep();
   return held;
 }
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock } from '@toucanbend/core';
-import { MemoryOrder, type Reservation, reserveParts } from '@toucanbend/forwarding';
+import { MemoryOrder, ReleaseCause, type Reservation, reserveParts } from '@toucanbend/forwarding';
 import { type Logger } from '@toucanbend/observability';
 import { type Helper } from '@toucanbend/placement';
 import { ServerState } from '@toucanbend/registry';
@@ -33,28 +33,33 @@
 interface Held {
   readonly engines: TestEngines;
   readonly reservation: Reservation;
+  /** How often the holder was told that the engines do not use the memory any more. */
+  idleCount(): number;
 }
 
 async function hold(late: readonly LateOrder[] = []): Promise<Held> {
   const clock = createManualClock();
   const engines = new TestEngines(clock, late);
+  let idle = 0;
   const reserved = await reserveParts(
-    { clock, logger, memory: engines, metrics: { countOrder: ignore } },
+    { clock, logger, memory: engines, metrics: { countOrder: ignore }, memoryReturnMs: RETURN_MS },
     { requestId: 'r', name: 'r-1' },
     [helper('e1'), helper('e2')],
   );
   assert.ok('release' in reserved);
+  reserved.onIdle(() => (idle += 1));
   engines.use('r-1', true);
-  return { engines, reservation: reserved };
+  return { engines, reservation: reserved, idleCount: () => idle };
 }
 
 describe('memory of a request that ended at its server, which the entry does not hear of', () => {
   it('is free in time though the server fell silent', async () => {
-    const { engines } = await hold();
+    const { engines, idleCount } = await hold();
     await engines.pass(2_500);
     engines.use('r-1', false);
     await engines.pass(15_000);
     assert.equal(engines.longestHoldAfter('r-1', 2_500 + RETURN_MS), 0);
+    assert.equal(idleCount(), 1);
   });
 
   it('is free in time where an engine does not tell what it holds', async () => {
@@ -76,10 +81,11 @@
 
 describe('memory of a request that runs', () => {
   it('is held until its release', async () => {
-    const { engines, reservation } = await hold();
+    const { engines, reservation, idleCount } = await hold();
     await engines.pass(14_000);
+    assert.equal(idleCount(), 0);
     assert.equal(engines.longestHoldAfter('r-1', 0), 14_000);
-    reservation.release(0);
+    reservation.release(ReleaseCause.Ended);
     engines.use('r-1', false);
     await engines.pass(10_000);
     assert.equal(engines.longestHoldAfter('r-1', 14_050), 0);
@@ -93,7 +99,7 @@
       const { engines, reservation } = await hold([late]);
       await engines.pass(1_600);
       engines.use('r-1', false);
-      reservation.release(0);
+      reservation.release(ReleaseCause.Ended);
       await engines.pass(20_000);
       assert.ok(engines.longestHoldAfter('r-1', 1_600 + RETURN_MS) < STRETCH_MS);
     });
@@ -106,7 +112,7 @@
     const { engines, reservation } = await hold([late]);
     await engines.pass(1_100);
     engines.use('r-1', false);
-    reservation.release(0);
+    reservation.release(ReleaseCause.Ended);
     await engines.pass(1_000);
     assert.equal(engines.longestHoldAfter('r-1', 1_600), 0);
   });
--- a/packages/forwarding/test/reservation.test.ts
+++ b/packages/forwarding/test/reservation.test.ts
@@ -6,6 +6,7 @@
   type EngineMemory,
   type MemoryError,
   OrderFailure,
+  ReleaseCause,
   type Reservation,
   reserveParts,
 } from '@toucanbend/forwarding';
@@ -61,12 +62,17 @@
       const error = { server: server.id, failure: OrderFailure.Unanswered, message: 'no answer' };
       return Promise.resolve(refuses ? err(error) : ok());
     },
+    list: () => Promise.resolve(ok([{ name: 'r1', isUsed: true }])),
   };
   return {
     calls,
     clock,
     reserve: (...helpers) =>
-      reserveParts({ clock, logger, memory, metrics }, { requestId: 'r', name: 'r1' }, helpers),
+      reserveParts(
+        { clock, logger, memory, metrics, memoryReturnMs: 4_000 },
+        { requestId: 'r', name: 'r1' },
+        helpers,
+      ),
   };
 }
 
@@ -93,27 +99,29 @@
   it('is renewed before its hold ends, and no more after its release', async () => {
     const engines = createEngines();
     const reserved = await reserveWell(engines, helper('e1'));
-    engines.clock.advance(3_000);
-    await settle();
-    assert.equal(engines.calls.filter((call) => call.startsWith('reserve')).length, 3);
-    reserved.release(0);
+    for (let second = 0; second < 3; second += 1) {
+      engines.clock.advance(1_000);
+      await settle();
+    }
+    assert.equal(engines.calls.filter((call) => call.startsWith('reserve')).length, 4);
+    reserved.release(ReleaseCause.Ended);
     engines.clock.advance(10_000);
     await settle();
-    assert.deepEqual(engines.calls.slice(3), ['release r1 at e1']);
+    assert.deepEqual(engines.calls.slice(4), ['release r1 at e1']);
   });
 
   it('is released once however often that is asked for', async () => {
     const engines = createEngines();
     const reserved = await reserveWell(engines, helper('e1'));
-    reserved.release(0);
-    reserved.release(0);
+    reserved.release(ReleaseCause.Ended);
+    reserved.release(ReleaseCause.Ended);
     assert.equal(engines.calls.filter((call) => call.startsWith('release')).length, 1);
   });
 
   it('is released once more where the first order got no answer', async () => {
     const engines = createEngines({ firstRelease: 'e1' });
     const reserved = await reserveWell(engines, helper('e1'));
-    reserved.release(0);
+    reserved.release(ReleaseCause.Ended);
     await settle();
     engines.clock.advance(300);
     await settle();
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -34,7 +34,15 @@
     key: headers.key === undefined ? undefined : String(headers.key),
     patienceMs: headers.patience === undefined ? undefined : Number(headers.patience),
     lastEventId: headers['last-event-id'] === undefined ? undefined : Number(headers['last-event-id']),
-    prompt: undefined,
+    prompt:
+      headers['prompt-tokens'] === undefined
+        ? undefined
+        : {
+            model: 'm',
+            promptTokens: Number(headers['prompt-tokens']),
+            maxAnswerTokens: 100,
+            expectedAnswerTokens: 100,
+          },
   }),
   writeAttempt: (callerHeaders, attempt) => {
     if (callerHeaders.includes('planted-fault')) {
@@ -130,6 +138,7 @@
 const noMemory: EngineMemory = {
   reserve: () => Promise.resolve(ok()),
   release: () => Promise.resolve(ok()),
+  list: () => Promise.resolve(ok([])),
 };
 
 function createRecordingLogger(lines: DecisionLine[]): Logger {
@@ -150,6 +159,7 @@
  * @param known - the catalogue; null where none is known yet
  * @param useManualClock - whether time stands still unless a test moves it
  * @param learnsLater - whether requests wait until the test makes a catalogue known
+ * @param memory - memory at the servers
  * @returns the port, once it listens
  */
 export async function startTestGateway(
@@ -157,6 +167,7 @@
   known: Catalogue | null = catalogue,
   useManualClock = false,
   learnsLater = false,
+  memory: EngineMemory = noMemory,
 ): Promise<TestGateway> {
   const lines: DecisionLine[] = [];
   const clock = createManualClock();
@@ -180,7 +191,8 @@
     planner: { entry: 'entry-1', dataCentre: 'bagmati-a', crossRoundTripMs: 7 },
     book: createLoadBook(),
     retries: createRetryWindow({ ratio: 0.2, allowance: 100, windowMs: 10_000 }),
-    memory: noMemory,
+    memory,
+    memoryReturnMs: 4_000,
     registry: () => registry,
     configured: () => (learnsLater ? learned : Promise.resolve()),
     entryCount: () => 1,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -49,6 +49,8 @@
   readonly graceMs: number;
   readonly dialect: Dialect;
   readonly memory: EngineMemory;
+  /** Time after the end of a request in which its memory at engines must be free, in milliseconds. */
+  readonly memoryReturnMs: number;
   readonly source: RegistrySource;
   /** Keys by which entries know one another. */
   readonly peerKeys: readonly string[];
@@ -121,6 +123,7 @@
     metrics: createForwardingMetrics(metricsRegistry),
     dialect: options.dialect,
     memory: options.memory,
+    memoryReturnMs: options.memoryReturnMs,
     planner: { entry: member.name, dataCentre: member.dataCentre, crossRoundTripMs: CROSS_ROUND_TRIP_MS },
     book,
     retries: createRetryWindow(options.retryBound),
