An engine is watched until no unanswered order can set memory aside again

Cause: an order without an answer counted as one that was not carried out. A renewal that an engine carries out up to 12 s later, after the release or after the hold had run out, sets the memory aside anew, and nobody gives it back.

A release without an answer is sent again until the hold has run out (before: once); one that the engine declined is not.

Open: an entry that is killed while an order is in doubt watches no more.

--- a/packages/forwarding/src/renewal.ts
+++ b/packages/forwarding/src/renewal.ts
@@ -1,16 +1,19 @@
 /**
- * Decides whether memory at an engine is kept for a request.
+ * Decides whether memory at an engine is kept for a request, and when it has been given back for good.
  *
- * Answers the failure of a server that ends a long prompt in silence: the entry that still waits for its answer would
- * hold the memory of all helpers until the deadline. What the engine shows decides, not what the entry expects.
+ * Answers two failures. A server ends a long prompt in silence: the entry that still waits for its answer would hold the
+ * memory of all helpers until the deadline. An engine carries out an order late that it did not answer: memory comes back
+ * after its release. In both, what the engine shows decides, not what the entry expects.
  */
 
 /** What an engine shows of a reservation. */
 export enum MemoryUse {
   /** A request uses it. */
   Used = 'used',
-  /** No request uses it, or the engine does not hold it. */
+  /** No request uses it. */
   Idle = 'idle',
+  /** The engine does not hold it. */
+  Absent = 'absent',
   /** The engine did not tell. */
   Unknown = 'unknown',
 }
@@ -24,6 +27,14 @@
   GiveUp = 'give_up',
 }
 
+/** What is done about a reservation that is to be given back. */
+export enum ReturnDecision {
+  Release = 'release',
+  /** The engine may still carry out an order that sets it aside. */
+  Look = 'look',
+  Done = 'done',
+}
+
 /** What is known of a reservation at one engine. */
 export interface KeptMemory {
   readonly wasUsed: boolean;
@@ -31,8 +42,21 @@
   readonly idleLooks: number;
   /** When the engine frees it unless it is renewed, in milliseconds. */
   readonly heldUntilMs: number;
+  /** Whether the engine may hold it. */
+  readonly isHeld: boolean;
+  /** Until when the engine may carry out an order that it did not answer, in milliseconds. */
+  readonly inDoubtUntilMs: number;
 }
 
+/** A reservation of which the engine has not heard. */
+export const unreserved: KeptMemory = {
+  wasUsed: false,
+  idleLooks: 0,
+  heldUntilMs: 0,
+  isHeld: false,
+  inDoubtUntilMs: 0,
+};
+
 /** The times of reservations, in milliseconds. */
 export interface ReservationTimes {
   /** How long memory is kept without renewal. */
@@ -65,6 +89,43 @@
   };
 }
 
+/** Longest time after which an engine may still carry out an order that it did not answer, in milliseconds. */
+const LATE_ORDER_MS = 15_000;
+
+/**
+ * Takes in the outcome of an order that sets memory aside or renews it.
+ *
+ * @param kept - what was known before
+ * @param holdMs - for how long memory was asked, in milliseconds
+ * @param isAnswered - whether the engine answered the order, or never got it
+ * @param nowMs - now, in milliseconds
+ * @returns what is known now
+ */
+export function afterReserve(
+  kept: KeptMemory,
+  holdMs: number,
+  isAnswered: boolean,
+  nowMs: number,
+): KeptMemory {
+  return {
+    ...kept,
+    isHeld: true,
+    heldUntilMs: nowMs + holdMs,
+    inDoubtUntilMs: isAnswered ? kept.inDoubtUntilMs : nowMs + LATE_ORDER_MS,
+  };
+}
+
+/**
+ * Takes in the outcome of an order that gives memory back.
+ *
+ * @param kept - what was known before
+ * @param isDone - whether the engine holds nothing any more
+ * @returns what is known now
+ */
+export function afterRelease(kept: KeptMemory, isDone: boolean): KeptMemory {
+  return { ...kept, isHeld: !isDone };
+}
+
 /**
  * Takes in what an engine shows of a reservation.
  *
@@ -77,12 +138,34 @@
     case MemoryUse.Used:
       return { ...kept, wasUsed: true, idleLooks: 0 };
     case MemoryUse.Idle:
+    case MemoryUse.Absent:
       return { ...kept, idleLooks: kept.idleLooks + 1 };
     case MemoryUse.Unknown:
       return kept;
   }
 }
 
+/**
+ * Takes in what an engine shows of a reservation that was given back.
+ *
+ * @param kept - what was known before
+ * @param use - what the engine shows
+ * @param holdMs - for how long memory is set aside by one order, in milliseconds
+ * @param nowMs - now, in milliseconds
+ * @returns what is known now: where the engine holds it again, a late order has been carried out
+ */
+export function afterReturnLook(kept: KeptMemory, use: MemoryUse, holdMs: number, nowMs: number): KeptMemory {
+  switch (use) {
+    case MemoryUse.Used:
+    case MemoryUse.Idle:
+      return { ...kept, isHeld: true, heldUntilMs: nowMs + holdMs };
+    case MemoryUse.Absent:
+      return { ...kept, isHeld: false };
+    case MemoryUse.Unknown:
+      return kept;
+  }
+}
+
 /**
  * Decides about a reservation after a look at its engine.
  *
@@ -98,3 +181,17 @@
   const hasEnded = kept.wasUsed && kept.idleLooks >= IDLE_LOOKS;
   return hasEnded || nowMs >= kept.heldUntilMs ? RenewalDecision.GiveUp : RenewalDecision.LookAgain;
 }
+
+/**
+ * Decides what follows for a reservation that is to be given back.
+ *
+ * @param kept - what is known
+ * @param nowMs - now, in milliseconds
+ * @returns what is done
+ */
+export function decideReturn(kept: KeptMemory, nowMs: number): ReturnDecision {
+  if (kept.isHeld && nowMs < kept.heldUntilMs) {
+    return ReturnDecision.Release;
+  }
+  return nowMs < kept.inDoubtUntilMs ? ReturnDecision.Look : ReturnDecision.Done;
+}
--- a/packages/forwarding/src/reservation.ts
+++ b/packages/forwarding/src/reservation.ts
@@ -7,12 +7,17 @@
 import { type ForwardingMetrics } from './metrics.js';
 import {
   afterLook,
+  afterRelease,
+  afterReserve,
+  afterReturnLook,
   decideRenewal,
-  type KeptMemory,
+  decideReturn,
   MemoryUse,
   RenewalDecision,
   reservationTimes,
   type ReservationTimes,
+  ReturnDecision,
+  unreserved,
 } from './renewal.js';
 
 /** Memory that is set aside for one request. */
@@ -40,6 +45,8 @@
   Incomplete = 'incomplete',
   /** No request uses it. */
   Idle = 'idle',
+  /** It was given back before, and a late order has set it aside again. */
+  LateOrder = 'late_order',
 }
 
 /** Pause before a failed release is sent once more, in milliseconds. */
@@ -68,8 +75,9 @@
   readonly #owner: ReservationOwner;
   readonly #helper: Helper;
   readonly #times: ReservationTimes;
-  #kept: KeptMemory = { wasUsed: false, idleLooks: 0, heldUntilMs: 0 };
+  #kept = unreserved;
   #isReleased = false;
+  #isReturning = false;
   #cancelTimer = (): void => undefined;
   renewals = 0;
   unanswered = 0;
@@ -86,9 +94,8 @@
     const { server, partTokens } = this.#helper;
     const { holdMs } = this.#times;
     const result = await this.#context.memory.reserve(server, this.#owner.name, partTokens, holdMs);
-    if (result.isOk()) {
-      this.#kept = { ...this.#kept, heldUntilMs: this.#context.clock.now() + holdMs };
-    }
+    const isAnswered = result.isOk() || result.error.failure !== OrderFailure.Unanswered;
+    this.#kept = afterReserve(this.#kept, holdMs, isAnswered, this.#context.clock.now());
     return this.#note(order, result);
   }
 
@@ -97,20 +104,20 @@
     this.#lookAfter(this.#times.lookMs, onIdle);
   }
 
+  /** Gives the memory back, and watches the engine for as long as an order may set it aside once more. */
   async release(): Promise<void> {
     this.#isReleased = true;
     this.#cancelTimer();
-    const first = await this.#release();
-    if (first.isOk()) {
+    if (this.#isReturning) {
       return;
     }
-    this.#context.clock.after(RELEASE_RETRY_MS, () => {
-      void this.#release().then((second) => {
-        if (second.isErr()) {
-          this.log(MemoryOrder.Release, { ...second.error });
-        }
-      });
-    });
+    this.#isReturning = true;
+    let decision = this.#decideReturn();
+    while (decision !== ReturnDecision.Done) {
+      await (decision === ReturnDecision.Release ? this.#returnOnce() : this.#lookForReturn());
+      decision = this.#decideReturn();
+    }
+    this.#isReturning = false;
   }
 
   log(order: MemoryOrder, fields: Readonly<Record<string, LogValue>>): void {
@@ -153,8 +160,38 @@
     if (listed.isErr()) {
       return MemoryUse.Unknown;
     }
-    const isUsed = listed.value.some((held) => held.name === this.#owner.name && held.isUsed);
-    return isUsed ? MemoryUse.Used : MemoryUse.Idle;
+    const held = listed.value.find((memory) => memory.name === this.#owner.name);
+    if (held === undefined) {
+      return MemoryUse.Absent;
+    }
+    return held.isUsed ? MemoryUse.Used : MemoryUse.Idle;
+  }
+
+  #decideReturn(): ReturnDecision {
+    return decideReturn(this.#kept, this.#context.clock.now());
+  }
+
+  async #returnOnce(): Promise<void> {
+    const released = await this.#release();
+    const isDone = released.isOk() || released.error.failure === OrderFailure.Refused;
+    this.#kept = afterRelease(this.#kept, isDone);
+    if (released.isErr()) {
+      this.log(MemoryOrder.Release, { ...released.error });
+      await this.#pause(RELEASE_RETRY_MS);
+    }
+  }
+
+  async #lookForReturn(): Promise<void> {
+    await this.#pause(this.#times.idleLookMs);
+    const use = await this.#use();
+    this.#kept = afterReturnLook(this.#kept, use, this.#times.holdMs, this.#context.clock.now());
+    if (this.#decideReturn() === ReturnDecision.Release) {
+      this.log(MemoryOrder.Release, { server: this.#helper.server.id, cause: ReleaseCause.LateOrder, use });
+    }
+  }
+
+  #pause(ms: number): Promise<void> {
+    return new Promise((resolve) => this.#context.clock.after(ms, resolve));
   }
 
   async #renew(): Promise<void> {
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -117,3 +117,13 @@
     assert.equal(engines.longestHoldAfter('r-1', 1_600), 0);
   });
 });
+
+describe('memory that an engine declined to give back', () => {
+  it('is not asked for again', async () => {
+    const { engines, reservation } = await hold();
+    engines.decline('e1');
+    reservation.release(ReleaseCause.Ended);
+    await engines.pass(5_000);
+    assert.equal(engines.count('e1', MemoryOrder.Release), 1);
+  });
+});
--- a/packages/forwarding/test/support/engines.ts
+++ b/packages/forwarding/test/support/engines.ts
@@ -30,6 +30,7 @@
   readonly #sights: Sight[] = [];
   readonly heldAt = new Map<string, number[]>();
   isSilent = false;
+  declines = false;
 
   constructor(clock: ManualClock) {
     this.#clock = clock;
@@ -117,6 +118,11 @@
     this.#engine(server).isSilent = true;
   }
 
+  /** Makes an engine decline all orders, as one does that took over the address of another. */
+  decline(server: string): void {
+    this.#engine(server).declines = true;
+  }
+
   /** Counts the orders of a kind that an engine got. */
   count(server: string, order: MemoryOrder): number {
     return this.#counts.get(`${order} at ${server}`) ?? 0;
@@ -161,6 +167,9 @@
   ): Promise<Result<void, MemoryError>> {
     const before = this.count(server, order);
     this.#counts.set(`${order} at ${server}`, before + 1);
+    if (this.#engine(server).declines) {
+      return Promise.resolve(err({ server, failure: OrderFailure.Refused, message: 'status 421' }));
+    }
     const late = this.#late.find(
       (one) => one.server === server && one.order === order && one.after === before,
     );
