A prompt that waits at its server keeps its memory

Cause: memory that no request uses counted as memory of a request that had ended. Before its first use a request may simply wait in the queue of its server.

Log lines about memory no longer use the names `at` and `message`, which overwrote those of every line.

--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -6,6 +6,7 @@
 import { type Dialect } from './dialect.js';
 import { type EngineMemory } from './memory.js';
 import { type ForwardingMetrics } from './metrics.js';
+import { type MemoryBounds } from './renewal.js';
 
 /** What the processes of requests share. */
 export interface ForwardingContext {
@@ -18,8 +19,7 @@
   readonly book: LoadBook;
   readonly retries: RetryWindow;
   readonly memory: EngineMemory;
-  /** Time after the end of a request in which its memory at engines must be free, in milliseconds. */
-  readonly memoryReturnMs: number;
+  readonly memoryBounds: MemoryBounds;
   /** The registry as it is now. */
   readonly registry: () => Registry;
   /** Resolves once a catalogue is known, or after a time in milliseconds. */
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -165,7 +165,7 @@
     this.#attemptNumber += 1;
     this.#tried.add(server.id);
     this.#place(server, helpers);
-    const owner = { requestId: this.#request.head.requestId, name: this.#reservationName() };
+    const owner = { requestId: this.#request.head.requestId, name: this.#reservationName(), server };
     const reserved = yield* settle(reserveParts(this.#context, owner, helpers));
     if (!('release' in reserved)) {
       this.#remove(server, helpers);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -11,5 +11,6 @@
 export * from './headers.js';
 export * from './memory.js';
 export * from './metrics.js';
+export * from './renewal.js';
 export * from './repeat.js';
 export * from './reservation.js';
--- a/packages/forwarding/src/renewal.ts
+++ b/packages/forwarding/src/renewal.ts
@@ -18,6 +18,13 @@
   Unknown = 'unknown',
 }
 
+/** A look at a reservation. */
+export interface MemoryLook {
+  readonly use: MemoryUse;
+  /** Whether the server of the request still tells what it holds: while it is alive, the request may wait there. */
+  readonly isServerAlive: boolean;
+}
+
 /** What is done about a reservation at an engine. */
 export enum RenewalDecision {
   Renew = 'renew',
@@ -37,6 +44,8 @@
 
 /** What is known of a reservation at one engine. */
 export interface KeptMemory {
+  /** When it was first asked for, in milliseconds. */
+  readonly sinceMs: number;
   readonly wasUsed: boolean;
   /** Looks in a row at which no request used it. */
   readonly idleLooks: number;
@@ -48,14 +57,23 @@
   readonly inDoubtUntilMs: number;
 }
 
-/** A reservation of which the engine has not heard. */
-export const unreserved: KeptMemory = {
-  wasUsed: false,
-  idleLooks: 0,
-  heldUntilMs: 0,
-  isHeld: false,
-  inDoubtUntilMs: 0,
-};
+/**
+ * Gives what is known of a reservation of which the engine has not heard.
+ *
+ * @param nowMs - now, in milliseconds
+ * @returns what is known
+ */
+export function unreserved(nowMs: number): KeptMemory {
+  return { sinceMs: nowMs, wasUsed: false, idleLooks: 0, heldUntilMs: 0, isHeld: false, inDoubtUntilMs: 0 };
+}
+
+/** Bounds on memory that no request uses, in milliseconds. */
+export interface MemoryBounds {
+  /** Time after the end of a request in which its memory must be free. */
+  readonly returnMs: number;
+  /** Longest time for which memory may be set aside before a request uses it. */
+  readonly unusedMs: number;
+}
 
 /** The times of reservations, in milliseconds. */
 export interface ReservationTimes {
@@ -65,6 +83,8 @@
   readonly lookMs: number;
   /** Time between two looks while no request is seen to use the memory. */
   readonly idleLookMs: number;
+  /** Time after which memory that no request has used is not renewed any more. */
+  readonly unusedMs: number;
 }
 
 /** Share of the time for the return that a hold takes; the rest is for the age of what an engine shows. */
@@ -78,14 +98,15 @@
 /**
  * Gives the times of reservations.
  *
- * @param returnMs - time after the end of a request in which its memory must be free, in milliseconds
+ * @param bounds - what the deployment allows
  * @returns the times
  */
-export function reservationTimes(returnMs: number): ReservationTimes {
+export function reservationTimes({ returnMs, unusedMs }: MemoryBounds): ReservationTimes {
   return {
     holdMs: HOLD_SHARE * returnMs,
     lookMs: LOOK_SHARE * returnMs,
     idleLookMs: IDLE_LOOK_SHARE * returnMs,
+    unusedMs: unusedMs - returnMs,
   };
 }
 
@@ -170,12 +191,19 @@
  * Decides about a reservation after a look at its engine.
  *
  * @param kept - what is known, this look included
- * @param use - what the engine showed at this look
+ * @param look - what was seen
+ * @param times - the times of reservations
  * @param nowMs - now, in milliseconds
  * @returns what is done
  */
-export function decideRenewal(kept: KeptMemory, use: MemoryUse, nowMs: number): RenewalDecision {
-  if (use === MemoryUse.Used) {
+export function decideRenewal(
+  kept: KeptMemory,
+  look: MemoryLook,
+  times: ReservationTimes,
+  nowMs: number,
+): RenewalDecision {
+  const isInQueue = look.use === MemoryUse.Idle && look.isServerAlive && !kept.wasUsed;
+  if (look.use === MemoryUse.Used || (isInQueue && nowMs < kept.sinceMs + times.unusedMs)) {
     return RenewalDecision.Renew;
   }
   const hasEnded = kept.wasUsed && kept.idleLooks >= IDLE_LOOKS;
--- a/packages/forwarding/src/reservation.ts
+++ b/packages/forwarding/src/reservation.ts
@@ -2,6 +2,7 @@
 import { type Clock } from '@toucanbend/core';
 import { DecisionKind, type Logger, type LogValue } from '@toucanbend/observability';
 import { type Helper } from '@toucanbend/placement';
+import { type BackendServer } from '@toucanbend/registry';
 import { type Result } from 'neverthrow';
 import { type EngineMemory, type MemoryError, MemoryOrder, OrderFailure } from './memory.js';
 import { type ForwardingMetrics } from './metrics.js';
@@ -12,6 +13,8 @@
   afterReturnLook,
   decideRenewal,
   decideReturn,
+  type KeptMemory,
+  type MemoryBounds,
   MemoryUse,
   RenewalDecision,
   reservationTimes,
@@ -58,8 +61,7 @@
   readonly logger: Logger;
   readonly memory: EngineMemory;
   readonly metrics: Pick<ForwardingMetrics, 'countOrder'>;
-  /** Time after the end of a request in which its memory must be free, in milliseconds. */
-  readonly memoryReturnMs: number;
+  readonly memoryBounds: MemoryBounds;
 }
 
 /** The request that memory is set aside for. */
@@ -67,6 +69,8 @@
   readonly requestId: string;
   /** Name of the reservation at each engine. */
   readonly name: string;
+  /** The server that gets the request. */
+  readonly server: BackendServer;
 }
 
 /** Memory at one engine. */
@@ -75,7 +79,7 @@
   readonly #owner: ReservationOwner;
   readonly #helper: Helper;
   readonly #times: ReservationTimes;
-  #kept = unreserved;
+  #kept: KeptMemory;
   #isReleased = false;
   #isReturning = false;
   #cancelTimer = (): void => undefined;
@@ -86,7 +90,8 @@
     this.#context = context;
     this.#owner = owner;
     this.#helper = helper;
-    this.#times = reservationTimes(context.memoryReturnMs);
+    this.#times = reservationTimes(context.memoryBounds);
+    this.#kept = unreserved(context.clock.now());
   }
 
   /** Sets memory aside, or renews it. */
@@ -137,11 +142,14 @@
 
   async #look(onIdle: () => void): Promise<void> {
     const use = await this.#use();
+    const mayWait = use === MemoryUse.Idle && !this.#kept.wasUsed;
+    const isServerAlive = mayWait && (await this.#context.memory.list(this.#owner.server)).isOk();
     if (this.#isReleased) {
       return;
     }
     this.#kept = afterLook(this.#kept, use);
-    switch (decideRenewal(this.#kept, use, this.#context.clock.now())) {
+    const nowMs = this.#context.clock.now();
+    switch (decideRenewal(this.#kept, { use, isServerAlive }, this.#times, nowMs)) {
       case RenewalDecision.Renew:
         this.#lookAfter(this.#times.lookMs, onIdle);
         await this.#renew();
@@ -150,11 +158,28 @@
         this.#lookAfter(this.#times.idleLookMs, onIdle);
         return;
       case RenewalDecision.GiveUp:
-        this.log(MemoryOrder.Renew, { server: this.#helper.server.id, given: 'up', use, ...this.#kept });
+        this.#logGivenUp(use);
         onIdle();
     }
   }
 
+  #logGivenUp(use: MemoryUse): void {
+    const { sinceMs, wasUsed, idleLooks } = this.#kept;
+    const ageMs = Math.round(this.#context.clock.now() - sinceMs);
+    this.log(MemoryOrder.Renew, {
+      engine: this.#helper.server.id,
+      decided: 'give_up',
+      use,
+      wasUsed,
+      idleLooks,
+      ageMs,
+    });
+  }
+
+  #logFailure(order: MemoryOrder, error: MemoryError): void {
+    this.log(order, { engine: error.server, failure: error.failure, detail: error.message });
+  }
+
   async #use(): Promise<MemoryUse> {
     const listed = await this.#context.memory.list(this.#helper.server);
     if (listed.isErr()) {
@@ -176,7 +201,7 @@
     const isDone = released.isOk() || released.error.failure === OrderFailure.Refused;
     this.#kept = afterRelease(this.#kept, isDone);
     if (released.isErr()) {
-      this.log(MemoryOrder.Release, { ...released.error });
+      this.#logFailure(MemoryOrder.Release, released.error);
       await this.#pause(RELEASE_RETRY_MS);
     }
   }
@@ -186,7 +211,7 @@
     const use = await this.#use();
     this.#kept = afterReturnLook(this.#kept, use, this.#times.holdMs, this.#context.clock.now());
     if (this.#decideReturn() === ReturnDecision.Release) {
-      this.log(MemoryOrder.Release, { server: this.#helper.server.id, cause: ReleaseCause.LateOrder, use });
+      this.log(MemoryOrder.Release, { engine: this.#helper.server.id, cause: ReleaseCause.LateOrder, use });
     }
   }
 
@@ -198,7 +223,7 @@
     this.renewals += 1;
     const renewed = await this.reserve(MemoryOrder.Renew);
     if (renewed.isErr()) {
-      this.log(MemoryOrder.Renew, { ...renewed.error });
+      this.#logFailure(MemoryOrder.Renew, renewed.error);
     }
     if (this.#isReleased) {
       await this.release();
@@ -288,7 +313,7 @@
   const results = await Promise.all(parts.map((part) => part.reserve(MemoryOrder.Reserve)));
   const errors = results.flatMap((result) => (result.isErr() ? [result.error] : []));
   parts[0]?.log(MemoryOrder.Reserve, {
-    at: keepers.map((helper) => helper.server.id),
+    engines: keepers.map((helper) => helper.server.id),
     tokens: keepers[0]?.partTokens ?? 0,
     failures: errors.map((error) => `${error.server}: ${error.failure} ${error.message}`),
   });
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -10,6 +10,8 @@
 
 /** Time after the end of a request in which its memory must be free, in milliseconds. */
 const RETURN_MS = 4_000;
+/** Longest time for which memory may be set aside before a request uses it, in milliseconds. */
+const UNUSED_MS = 9_000;
 /** Longest time for which memory that comes back after that may stay, in milliseconds. */
 const STRETCH_MS = 2_000;
 
@@ -42,8 +44,14 @@
   const engines = new TestEngines(clock, late);
   let idle = 0;
   const reserved = await reserveParts(
-    { clock, logger, memory: engines, metrics: { countOrder: ignore }, memoryReturnMs: RETURN_MS },
-    { requestId: 'r', name: 'r-1' },
+    {
+      clock,
+      logger,
+      memory: engines,
+      metrics: { countOrder: ignore },
+      memoryBounds: { returnMs: RETURN_MS, unusedMs: UNUSED_MS },
+    },
+    { requestId: 'r', name: 'r-1', server: helper('first').server },
     [helper('e1'), helper('e2')],
   );
   assert.ok('release' in reserved);
@@ -74,11 +82,31 @@
   it('is free in time where no engine ever used it', async () => {
     const { engines } = await hold();
     engines.use('r-1', false);
+    engines.silence('first');
     await engines.pass(15_000);
     assert.equal(engines.longestHoldAfter('r-1', RETURN_MS), 0);
   });
 });
 
+describe('memory of a request that waits at its server', () => {
+  it('is held until the request begins', async () => {
+    const { engines, idleCount } = await hold();
+    engines.use('r-1', false);
+    await engines.pass(4_500);
+    engines.use('r-1', true);
+    await engines.pass(3_000);
+    assert.equal(idleCount(), 0);
+    assert.equal(engines.longestHoldAfter('r-1', 0), 7_500);
+  });
+
+  it('is free in time where the request never begins', async () => {
+    const { engines } = await hold();
+    engines.use('r-1', false);
+    await engines.pass(15_000);
+    assert.equal(engines.longestHoldAfter('r-1', UNUSED_MS), 0);
+  });
+});
+
 describe('memory of a request that runs', () => {
   it('is held until its release', async () => {
     const { engines, reservation, idleCount } = await hold();
--- a/packages/forwarding/test/reservation.test.ts
+++ b/packages/forwarding/test/reservation.test.ts
@@ -69,8 +69,8 @@
     clock,
     reserve: (...helpers) =>
       reserveParts(
-        { clock, logger, memory, metrics, memoryReturnMs: 4_000 },
-        { requestId: 'r', name: 'r1' },
+        { clock, logger, memory, metrics, memoryBounds: { returnMs: 4_000, unusedMs: 9_000 } },
+        { requestId: 'r', name: 'r1', server: helper('first').server },
         helpers,
       ),
   };
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -192,7 +192,7 @@
     book: createLoadBook(),
     retries: createRetryWindow({ ratio: 0.2, allowance: 100, windowMs: 10_000 }),
     memory,
-    memoryReturnMs: 4_000,
+    memoryBounds: { returnMs: 4_000, unusedMs: 9_000 },
     registry: () => registry,
     configured: () => (learnsLater ? learned : Promise.resolve()),
     entryCount: () => 1,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
   type Dialect,
   type EngineMemory,
   type ForwardingContext,
+  type MemoryBounds,
 } from '@toucanbend/forwarding';
 import { type EngineParameters } from '@toucanbend/engine-model';
 import {
@@ -49,8 +50,7 @@
   readonly graceMs: number;
   readonly dialect: Dialect;
   readonly memory: EngineMemory;
-  /** Time after the end of a request in which its memory at engines must be free, in milliseconds. */
-  readonly memoryReturnMs: number;
+  readonly memoryBounds: MemoryBounds;
   readonly source: RegistrySource;
   /** Keys by which entries know one another. */
   readonly peerKeys: readonly string[];
@@ -123,7 +123,7 @@
     metrics: createForwardingMetrics(metricsRegistry),
     dialect: options.dialect,
     memory: options.memory,
-    memoryReturnMs: options.memoryReturnMs,
+    memoryBounds: options.memoryBounds,
     planner: { entry: member.name, dataCentre: member.dataCentre, crossRoundTripMs: CROSS_ROUND_TRIP_MS },
     book,
     retries: createRetryWindow(options.retryBound),
