Bytes of a server that never end are bounded everywhere, and their connection is closed

What callers saw: nothing yet; the users' pages say that bytes that are no answer may come without end, in a head or a body, until the caller closes. Then an entry would collect them until the deadline: a call waits for nothing, memory grows with the speed of the link, and a stream without events is copied whole for each piece that arrives.

Cause: only time bounded what is read of a server. The class: input of another party without a bound. Looked for everywhere that reads from servers: attempts (heads, whole answers, events), orders and reports of the platform, and the product's own client of engines (events, refusals, status). The client of plain services had a bound already; the store's answers have a time-out for the whole body.

Change: 64 KB before a head, 8 MB of a whole answer, 1 MB of an event, 256 KB of an order's answer; beyond that the attempt is in doubt and its connection is closed. An unsigned answer ends its attempt at the head.

--- a/packages/engine/src/http-engine.ts
+++ b/packages/engine/src/http-engine.ts
@@ -27,6 +27,10 @@
   models: z.array(z.string()),
 });
 const END_OF_STREAM = '[DONE]';
+/** Longest answer to a question or an order, in characters; an engine's status is far shorter. */
+const MAX_ANSWER_LENGTH = 256 * 1024;
+/** Longest run of a stream's text without an event, in characters. */
+const MAX_EVENT_LENGTH = 1024 * 1024;
 
 interface StreamReader {
   /** Tokens that came since the last call, and whether the stream is over. */
@@ -58,6 +62,26 @@
   };
 }
 
+/** Breaks an answer off that goes on beyond any answer to a question, or to an order. */
+function limitLength(answer: IncomingMessage, call: ClientRequest): void {
+  let length = 0;
+  answer.on('data', (chunk: Buffer | string) => {
+    length += chunk.length;
+    if (length > MAX_ANSWER_LENGTH) {
+      call.destroy(new Error('the answer is too long'));
+    }
+  });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // What is no JSON has no fields either, which is what the reader reports.
+    return undefined;
+  }
+}
+
 function readChunk(data: string): string {
   try {
     return chunkShape.safeParse(JSON.parse(data)).data?.choices[0]?.text ?? '';
@@ -88,7 +112,7 @@
     };
     const call = this.#open('POST', '/v1/completions', (answer) => {
       if (answer.statusCode !== 200) {
-        answer.resume();
+        limitLength(answer, call);
         end({ kind: CompletionEndKind.Refused, message: `status ${String(answer.statusCode)}` });
         return;
       }
@@ -99,6 +123,7 @@
           }
         },
         onEnd: end,
+        onFlood: () => call.destroy(new Error('the stream has no events')),
       });
     });
     call.on('error', (error: NodeJS.ErrnoException) => {
@@ -123,7 +148,7 @@
   async status(timeoutMs: number): Promise<Result<EngineStatus, EngineError>> {
     const answer = await this.#ask('GET', '/status', undefined, timeoutMs);
     return answer.andThen((text) => {
-      const checked = statusShape.safeParse(JSON.parse(text));
+      const checked = statusShape.safeParse(parseJson(text));
       return checked.success ? ok(checked.data) : err({ message: checked.error.message });
     });
   }
@@ -148,8 +173,11 @@
       const call = this.#open(method, path, (answer) => {
         let text = '';
         answer.setEncoding('utf8');
+        limitLength(answer, call);
         answer.on('data', (chunk: string) => (text += chunk));
-        answer.on('error', () => undefined);
+        answer.on('error', (error) => {
+          resolve(err({ message: error.message }));
+        });
         answer.on('end', () => {
           resolve(
             answer.statusCode === 200 ? ok(text) : err({ message: `status ${String(answer.statusCode)}` }),
@@ -165,11 +193,21 @@
   }
 }
 
-function readStream(answer: IncomingMessage, sink: CompletionSink): void {
+/** Takes a stream, and learns of text that goes on without events. */
+interface StreamSink extends CompletionSink {
+  readonly onFlood: () => void;
+}
+
+function readStream(answer: IncomingMessage, sink: StreamSink): void {
   const reader = createStreamReader();
+  let withoutEvent = 0;
   answer.setEncoding('utf8');
   answer.on('data', (text: string) => {
     const { tokens, isOver } = reader.push(text);
+    withoutEvent = tokens.length > 0 ? 0 : withoutEvent + text.length;
+    if (withoutEvent > MAX_EVENT_LENGTH) {
+      sink.onFlood();
+    }
     if (tokens.length > 0) {
       sink.onTokens(tokens);
     }
--- /dev/null
+++ b/packages/engine/test/endless.test.ts
@@ -0,0 +1,87 @@
+/** Engines whose bytes never end until their connection is closed. */
+import assert from 'node:assert/strict';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { CompletionEndKind, HttpModelEngine } from '@toucanbend/engine';
+
+const open: Server[] = [];
+
+afterEach(() => {
+  open.splice(0).forEach((server) => {
+    server.close();
+    server.closeAllConnections();
+  });
+});
+
+interface EndlessEngine {
+  readonly engine: HttpModelEngine;
+  /** Resolves once the connection of the first request is closed. */
+  readonly closed: Promise<void>;
+}
+
+/** Starts an engine that answers with a status, a beginning, and then one piece without end. */
+async function startEndless(status: number, beginning: string): Promise<EndlessEngine> {
+  let announceClosed = (): void => undefined;
+  const closed = new Promise<void>((resolve) => {
+    announceClosed = resolve;
+  });
+  const piece = 'copper vane '.repeat(1_000);
+  const server = createServer((_request: IncomingMessage, response: ServerResponse) => {
+    response.writeHead(status, { 'content-type': 'text/event-stream' });
+    response.write(beginning);
+    const write = (): void => {
+      if (!response.destroyed) {
+        response.write(piece, () => {
+          setImmediate(write);
+        });
+      }
+    };
+    response.on('close', announceClosed);
+    write();
+  });
+  open.push(server);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  return { engine: new HttpModelEngine(`127.0.0.1:${String(port)}`), closed };
+}
+
+const request = { model: 'm', prompt: 'a vane', maxTokens: 4, priority: 0 };
+const TIMEOUT_MS = 10_000;
+
+function complete(engine: HttpModelEngine): Promise<CompletionEndKind> {
+  return new Promise((resolve) => {
+    engine.complete(request, {
+      onTokens: () => undefined,
+      onEnd: (end) => {
+        resolve(end.kind);
+      },
+    });
+  });
+}
+
+describe('an engine whose bytes never end', () => {
+  it('fails a completion that brings no event', { timeout: TIMEOUT_MS }, async () => {
+    const { engine, closed } = await startEndless(200, '');
+    assert.equal(await complete(engine), CompletionEndKind.Failed);
+    await closed;
+  });
+
+  it('is closed after the end of a completion', { timeout: TIMEOUT_MS }, async () => {
+    const { engine, closed } = await startEndless(200, 'data: [DONE]\n\n');
+    assert.equal(await complete(engine), CompletionEndKind.Finished);
+    await closed;
+  });
+
+  it('is closed after a refusal', { timeout: TIMEOUT_MS }, async () => {
+    const { engine, closed } = await startEndless(503, '');
+    assert.equal(await complete(engine), CompletionEndKind.Refused);
+    await closed;
+  });
+
+  it('does not tell its status', { timeout: TIMEOUT_MS }, async () => {
+    const { engine, closed } = await startEndless(200, '');
+    assert.ok((await engine.status(TIMEOUT_MS)).isErr());
+    await closed;
+  });
+});
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,5 +1,6 @@
 /** An attempt: one request to one backend server, on a connection of its own. */
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import { type Socket } from 'node:net';
 import { type Clock } from '@toucanbend/core';
 import { type AnswerHead, type Dialect, type RawHeaders } from './dialect.js';
 import { endToEndHeaders, headersByName } from './headers.js';
@@ -63,6 +64,9 @@
   cancel(): void;
 }
 
+/** Bytes of a server before its answer's body; more are no head, whatever they hold. */
+const MAX_HEAD_BYTES = 64 * 1024;
+
 /** Statuses whose answers have no body (RFC 9112, section 6.3). */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -86,6 +90,7 @@
   readonly #options: AttemptOptions;
   #isOver = false;
   isSent = false;
+  hasHead = false;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
@@ -115,6 +120,29 @@
   }
 }
 
+/** Reports what arrives in one read of the connection as one piece, however many chunks a server makes of it. */
+function gatherBody(reporter: AttemptReporter): { add: (chunk: Buffer) => void; flush: () => void } {
+  let chunks: Buffer[] = [];
+  const flush = (): void => {
+    const gathered = chunks;
+    chunks = [];
+    const [only] = gathered;
+    if (only !== undefined) {
+      const chunk = gathered.length === 1 ? only : Buffer.concat(gathered);
+      reporter.report({ type: AttemptEventType.Body, chunk });
+    }
+  };
+  return {
+    add: (chunk) => {
+      chunks.push(chunk);
+      if (chunks.length === 1) {
+        queueMicrotask(flush);
+      }
+    },
+    flush,
+  };
+}
+
 function followAnswer(
   options: AttemptOptions,
   reporter: AttemptReporter,
@@ -122,7 +150,9 @@
   message: IncomingMessage,
 ): void {
   const start = readStart(options, message);
+  const body = gatherBody(reporter);
   message.on('error', (error) => {
+    body.flush();
     reporter.breakOff(`answer broke off: ${error.message}`);
   });
   if (start.isNotRun) {
@@ -136,19 +166,31 @@
     return;
   }
   reporter.report({ type: AttemptEventType.Started, start });
-  message.on('data', (chunk: Buffer) => {
-    reporter.report({ type: AttemptEventType.Body, chunk });
-  });
+  message.on('data', body.add);
   message.on('end', () => {
+    body.flush();
     if (message.complete) {
       reporter.report({ type: AttemptEventType.Ended });
     }
   });
   message.on('close', () => {
+    body.flush();
     reporter.breakOff('answer ended early');
   });
 }
 
+/** Ends an attempt whose server sends bytes without end before any answer: heads of its own, or empty lines. */
+function boundHead(reporter: AttemptReporter, outgoing: ClientRequest, socket: Socket): void {
+  let received = 0;
+  socket.on('data', (chunk: Buffer) => {
+    received += reporter.hasHead ? 0 : chunk.length;
+    if (!reporter.hasHead && received > MAX_HEAD_BYTES) {
+      reporter.breakOff('no head within its longest length');
+      outgoing.destroy();
+    }
+  });
+}
+
 /**
  * Starts an attempt.
  *
@@ -177,12 +219,14 @@
   });
   outgoing.on('socket', (socket) => {
     socket.setNoDelay(true);
+    boundHead(reporter, outgoing, socket);
     socket.once('connect', () => {
       cancelTimer();
       reporter.isSent = true;
     });
   });
   outgoing.on('response', (message) => {
+    reporter.hasHead = true;
     followAnswer(options, reporter, outgoing, message);
   });
   outgoing.on('error', (error) => {
--- a/packages/forwarding/src/follower.ts
+++ b/packages/forwarding/src/follower.ts
@@ -46,6 +46,16 @@
   take(event: AttemptEvent, mayRepeat: boolean): AttemptResult | undefined;
 }
 
+/** Longest answer that is collected, in bytes: a few of them at once fit into the memory of the smallest host. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Longest event of a stream, in bytes; each stream may have one that is not whole yet. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
+const unsigned = (start: AnswerStart | undefined): AttemptResult => ({
+  failure: AttemptFailure.InDoubt,
+  detail: `status ${String(start?.status)} without signature`,
+});
+
 /** Collects an answer and passes it on once it is whole. */
 export class WholeFollower implements Follower {
   readonly #context: ForwardingContext;
@@ -53,6 +63,7 @@
   readonly #server: BackendServer;
   readonly #sentAtMs: number;
   readonly #chunks: Buffer[] = [];
+  #length = 0;
   #start: AnswerStart | undefined;
   kept: KeptAnswer | undefined;
   readonly eventsSeen = 0;
@@ -73,10 +84,9 @@
     switch (event.type) {
       case AttemptEventType.Started:
         this.#start = event.start;
-        return undefined;
+        return event.start.isSigned ? undefined : unsigned(event.start);
       case AttemptEventType.Body:
-        this.#chunks.push(event.chunk);
-        return undefined;
+        return this.#collect(event.chunk);
       case AttemptEventType.Failed:
         return { failure: event.failure, detail: event.detail };
       case AttemptEventType.Ended:
@@ -84,10 +94,19 @@
     }
   }
 
+  #collect(chunk: Buffer): AttemptResult | undefined {
+    this.#length += chunk.length;
+    if (this.#length > MAX_ANSWER_BYTES) {
+      return { failure: AttemptFailure.InDoubt, detail: 'answer beyond its longest length' };
+    }
+    this.#chunks.push(chunk);
+    return undefined;
+  }
+
   #finish(mayRepeat: boolean): AttemptResult {
     const start = this.#start;
-    if (start?.isSigned !== true) {
-      return { failure: AttemptFailure.InDoubt, detail: `status ${String(start?.status)} without signature` };
+    if (start === undefined) {
+      return unsigned(start);
     }
     const body = Buffer.concat(this.#chunks);
     const { clock, book } = this.#context;
@@ -140,14 +159,14 @@
     }
     switch (event.type) {
       case AttemptEventType.Started:
-        return event.start.isSigned
-          ? undefined
-          : { failure: AttemptFailure.InDoubt, detail: 'stream without signature' };
+        return event.start.isSigned ? undefined : unsigned(event.start);
       case AttemptEventType.Body:
         this.#splitter.push(event.chunk).forEach((whole) => {
           this.#deliver(whole);
         });
-        return undefined;
+        return this.#splitter.pendingBytes() > MAX_EVENT_BYTES
+          ? { failure: AttemptFailure.InDoubt, detail: 'event beyond its longest length' }
+          : undefined;
       case AttemptEventType.Failed:
         return { failure: event.failure, detail: event.detail };
       case AttemptEventType.Ended:
