A test fleet that does not start leaves no process behind

Cause: startFleet rejects when a process ends before it is ready, but nobody ended the processes that had started, and they kept the test's process alive.

Change: the processes of a fleet form a group, which is ended where the start fails.

--- a/fakes/fleet.ts
+++ b/fakes/fleet.ts
@@ -8,7 +8,7 @@
 import { stringify } from 'smol-toml';
 import { type EngineOptions } from './engine.js';
 import { type RelayRoute } from './relay.js';
-import { type FleetProcess, freePorts, startProcess } from './processes.js';
+import { type FleetProcess, freePorts, ProcessGroup, startProcess } from './processes.js';
 
 /** A model engine or plain service of a fleet. */
 export interface BackendPlan {
@@ -166,10 +166,15 @@
   }
 }
 
-async function startFake(kind: string, name: string, options: object): Promise<FleetFake> {
+async function startFake(
+  kind: string,
+  name: string,
+  options: object,
+  group: ProcessGroup,
+): Promise<FleetFake> {
   const [port = 0] = await freePorts(1);
   const start = (): Promise<FleetProcess> =>
-    startProcess(name, 'fakes.cjs', [kind, JSON.stringify({ ...options, port })]);
+    startProcess(name, 'fakes.cjs', [kind, JSON.stringify({ ...options, port })], group);
   const fake: FleetFake = {
     name,
     port,
@@ -196,6 +201,7 @@
   platform: object,
   plan: FleetPlan,
   seed: number,
+  group: ProcessGroup,
 ): Promise<FleetNode> {
   const [peerPort = 0, operatorPort = 0, callerPort = 0] = await freePorts(3);
   const { name, dataCentre, region, role } = file;
@@ -220,7 +226,7 @@
   const path = join(folder, `${name}.toml`);
   writeFileSync(path, stringify(settings));
   const start = (): Promise<FleetProcess> =>
-    startProcess(name, plan.binary ?? 'toucanbend.cjs', [role, '--settings', path]);
+    startProcess(name, plan.binary ?? 'toucanbend.cjs', [role, '--settings', path], group);
   const node: FleetNode = {
     name,
     dataCentre,
@@ -278,26 +284,36 @@
   };
 }
 
-async function startBackend(plan: BackendPlan): Promise<FleetFake> {
+async function startBackend(plan: BackendPlan, group: ProcessGroup): Promise<FleetFake> {
   return plan.engine === undefined
-    ? startFake('service', plan.name, { delayMs: plan.serviceDelayMs ?? 5 })
-    : startFake('engine', plan.name, { ...plan.engine, models: [MODEL] });
+    ? startFake('service', plan.name, { delayMs: plan.serviceDelayMs ?? 5 }, group)
+    : startFake('engine', plan.name, { ...plan.engine, models: [MODEL] }, group);
 }
 
 /**
- * Starts a fleet and waits until every node is ready.
+ * Starts a fleet and waits until every node is ready; where that fails, none of its processes is left.
  *
  * @param plan - what it consists of
  * @returns the fleet
  */
 export async function startFleet(plan: FleetPlan): Promise<Fleet> {
+  const group = new ProcessGroup();
+  try {
+    return await startFleetIn(group, plan);
+  } catch (error) {
+    group.end();
+    throw error;
+  }
+}
+
+async function startFleetIn(group: ProcessGroup, plan: FleetPlan): Promise<Fleet> {
   const folder = mkdtempSync(join(tmpdir(), 'toucanbend-fleet-'));
   const regionOf = (name: string): string =>
     plan.dataCentres.find((item) => item.name === name)?.region ?? '';
   const [store, hosts, ...backends] = await Promise.all([
-    startFake('store', 'store', {}),
-    startFake('hosts', 'hosts', {}),
-    ...plan.backends.map(startBackend),
+    startFake('store', 'store', {}, group),
+    startFake('hosts', 'hosts', {}, group),
+    ...plan.backends.map((backend) => startBackend(backend, group)),
   ]);
   const platform = {
     store: `127.0.0.1:${String(store.port)}`,
@@ -322,7 +338,7 @@
         table,
         scheduler: { memoryTokens: backend.engine?.memoryTokens ?? 400_000, ...backend.scheduler },
       } as const;
-      return startNode(file, folder, platform, plan, index + 100);
+      return startNode(file, folder, platform, plan, index + 100, group);
     }),
   );
   const entries = await Promise.all(
@@ -334,7 +350,7 @@
         role: 'entry',
         table: plan.entrySettings ?? {},
       } as const;
-      return startNode(file, folder, platform, plan, index + 1);
+      return startNode(file, folder, platform, plan, index + 1, group);
     }),
   );
   const nodes = [...entries, ...sides];
@@ -345,7 +361,7 @@
     const jitterMs = plan.relayJitterMs ?? 0;
     return side === undefined ? [] : [{ name: side.name, port, target: side.peerPort, delayMs, jitterMs }];
   });
-  const relay = await startFake('relay', 'relay', { routes });
+  const relay = await startFake('relay', 'relay', { routes }, group);
   const document = documentOf(plan, sides, relayPorts);
   await callJson(store.port, '/set', { key: CONFIGURATION_KEY, value: JSON.stringify(document) });
 
--- a/fakes/processes.ts
+++ b/fakes/processes.ts
@@ -40,18 +40,40 @@
   return ports;
 }
 
+/** Processes that end together. */
+export class ProcessGroup {
+  readonly #children: ChildProcess[] = [];
+  #isEnded = false;
+
+  /** Takes a process in; it is ended at once where the group has ended. */
+  add(child: ChildProcess): void {
+    this.#children.push(child);
+    if (this.#isEnded) {
+      child.kill('SIGKILL');
+    }
+  }
+
+  /** Ends all processes, and those that are still to come. */
+  end(): void {
+    this.#isEnded = true;
+    this.#children.forEach((child) => child.kill('SIGKILL'));
+  }
+}
+
 /**
  * Starts a process and waits for its first line.
  *
  * @param name - name of the process in the fleet
  * @param program - a program in the folder of distribution: a binary, or a bundled script that ends in .cjs
  * @param parameters - its arguments
+ * @param group - what the process belongs to
  * @returns the process
  */
 export function startProcess(
   name: string,
   program: string,
   parameters: readonly string[],
+  group: ProcessGroup = new ProcessGroup(),
 ): Promise<FleetProcess> {
   const path = join(DISTRIBUTION, program);
   const isScript = program.endsWith('.cjs');
@@ -59,6 +81,7 @@
     stdio: ['ignore', 'pipe', 'pipe'],
     ...(isScript ? {} : { env: {} }),
   });
+  group.add(child);
   let errors = '';
   child.stderr.setEncoding('utf8');
   child.stderr.on('data', (text: string) => {
