The hold of a reservation is a whole number of milliseconds

Cause: the hold is a share of the deployment's bound; with a bound that four does not divide it was a fraction, and engines may decline such an order, so that no prompt could be set on several engines. Found by reading.

Test: the hold of a reservation (2,499.75 before). Comments of the bounds on heads use the field's terms.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -64,7 +64,7 @@
   cancel(): void;
 }
 
-/** Bytes of a server before its answer's body; more are no head, whatever they hold. */
+/** Longest head of an answer in bytes, with interim responses and blank lines before it. */
 const MAX_HEAD_BYTES = 64 * 1024;
 
 /** Statuses whose answers have no body (RFC 9112, section 6.3). */
@@ -179,13 +179,13 @@
   });
 }
 
-/** Ends an attempt whose server sends bytes without end before any answer: heads of its own, or empty lines. */
+/** Ends an attempt whose server sends interim responses or blank lines without end. */
 function boundHead(reporter: AttemptReporter, outgoing: ClientRequest, socket: Socket): void {
   let received = 0;
   socket.on('data', (chunk: Buffer) => {
     received += reporter.hasHead ? 0 : chunk.length;
     if (!reporter.hasHead && received > MAX_HEAD_BYTES) {
-      reporter.breakOff('no head within its longest length');
+      reporter.breakOff('head beyond its longest length');
       outgoing.destroy();
     }
   });
--- a/packages/forwarding/src/renewal.ts
+++ b/packages/forwarding/src/renewal.ts
@@ -87,9 +87,9 @@
   readonly unusedMs: number;
 }
 
-/** Share of the time for the return that a hold takes; the rest is for the age of what an engine shows. */
+/** Hold as a share of the time for the return; the rest is for the age of what an engine shows. */
 const HOLD_SHARE = 0.75;
-/** Share of it between two looks; two of them may fail within a hold. */
+/** Pause before a look, as a share of that time; two looks may fail within a hold. */
 const LOOK_SHARE = 0.25;
 const IDLE_LOOK_SHARE = 0.125;
 /** Idle looks in a row after which a request that used memory has ended; one may be older than the request. */
@@ -103,7 +103,7 @@
  */
 export function reservationTimes({ returnMs, unusedMs }: MemoryBounds): ReservationTimes {
   return {
-    holdMs: HOLD_SHARE * returnMs,
+    holdMs: Math.floor(HOLD_SHARE * returnMs),
     lookMs: LOOK_SHARE * returnMs,
     idleLookMs: IDLE_LOOK_SHARE * returnMs,
     unusedMs: unusedMs - returnMs,
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -2,7 +2,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock } from '@toucanbend/core';
-import { MemoryOrder, ReleaseCause, type Reservation, reserveParts } from '@toucanbend/forwarding';
+import {
+  MemoryOrder,
+  ReleaseCause,
+  type Reservation,
+  reservationTimes,
+  reserveParts,
+} from '@toucanbend/forwarding';
 import { type Logger } from '@toucanbend/observability';
 import { type Helper } from '@toucanbend/placement';
 import { ServerState } from '@toucanbend/registry';
@@ -155,3 +161,10 @@
     assert.equal(engines.count('e1', MemoryOrder.Release), 1);
   });
 });
+
+describe('the hold of a reservation', () => {
+  it('is a whole number of milliseconds, as engines take no other', () => {
+    const { holdMs } = reservationTimes({ returnMs: 3_333, unusedMs: UNUSED_MS });
+    assert.equal(holdMs, 2_499);
+  });
+});
