--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -33,9 +33,10 @@
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
+import { ReleaseCause } from './held-part.js';
 import { type MemoryError } from './memory.js';
 import { mayFollow, noAttempts, outcomeOf, recordAttempt } from './repeat.js';
-import { ReleaseCause, reserveParts } from './reservation.js';
+import { reserveParts } from './reservation.js';
 import { acceptedSilenceMs } from './silence.js';
 
 /** Longest time for a connection to a server: several round trips, far below a packet's retransmission. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -9,6 +9,7 @@
 export * from './forward-message.js';
 export * from './forward.js';
 export * from './headers.js';
+export { ReleaseCause, type ReservationContext, type ReservationOwner } from './held-part.js';
 export * from './memory.js';
 export * from './metrics.js';
 export * from './renewal.js';
