Tests: one writer of endless bytes

Change: fakes/endless.ts has it once, for connections and for bodies of answers; the checks stay as they are.

--- a/packages/engine/test/endless.test.ts
+++ b/packages/engine/test/endless.test.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { CompletionEndKind, HttpModelEngine } from '@toucanbend/engine';
+import { writeForever } from '../../../fakes/endless.js';
 
 const open: Server[] = [];
 
@@ -26,19 +27,11 @@
   const closed = new Promise<void>((resolve) => {
     announceClosed = resolve;
   });
-  const piece = 'copper vane '.repeat(1_000);
   const server = createServer((_request: IncomingMessage, response: ServerResponse) => {
     response.writeHead(status, { 'content-type': 'text/event-stream' });
     response.write(beginning);
-    const write = (): void => {
-      if (!response.destroyed) {
-        response.write(piece, () => {
-          setImmediate(write);
-        });
-      }
-    };
     response.on('close', announceClosed);
-    write();
+    writeForever(response, 'copper vane ');
   });
   open.push(server);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
--- a/packages/forwarding/test/endless.test.ts
+++ b/packages/forwarding/test/endless.test.ts
@@ -1,7 +1,7 @@
 /** Servers whose bytes never end, in a head or in a body, until their connection is closed. */
 import assert from 'node:assert/strict';
-import { type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
+import { writeForever } from '../../../fakes/endless.js';
 import { paths, startTestGateway } from './support/gateway.js';
 import {
   answerTo,
@@ -19,19 +19,6 @@
   });
 });
 
-/** Writes a piece again and again, as fast as it is read, until the connection is closed. */
-function writeForever(socket: Socket, piece: string): void {
-  const bytes = piece.repeat(Math.ceil(16_384 / piece.length));
-  const write = (): void => {
-    if (!socket.destroyed) {
-      socket.write(bytes, () => {
-        setImmediate(write);
-      });
-    }
-  };
-  write();
-}
-
 function endless(first: (request: ReceivedRequest) => string, piece: string): Script {
   return (socket, request) => {
     socket.write(first(request));
