What an order came to decides what is known of a reservation, and the hold alone says whether it stands

Cause: afterReserve counted every order as if the engine now held the memory, also one that was declined or never sent. `isHeld` stood beside the end of the hold that says the same.

Change: done and unanswered orders set the end of the hold, declined and unsent ones leave it; a release that was done or declined sets it to 0; `isHeld` goes.

A renewal that was not sent is new.

--- a/packages/forwarding/src/held-part.ts
+++ b/packages/forwarding/src/held-part.ts
@@ -87,9 +87,9 @@
     const { server, partTokens } = this.#helper;
     const { holdMs } = this.#times;
     const result = await this.#context.memory.reserve(server, this.#owner.name, partTokens, holdMs);
-    const isAnswered = result.isOk() || result.error.failure !== OrderFailure.Unanswered;
-    this.#kept = afterReserve(this.#kept, holdMs, isAnswered, this.#context.clock.now());
-    return this.#note(order, result);
+    const failure = this.#note(order, result);
+    this.#kept = afterReserve(this.#kept, holdMs, failure, this.#context.clock.now());
+    return result;
   }
 
   /**
@@ -194,9 +194,8 @@
   }
 
   async #returnOnce(): Promise<void> {
-    const released = await this.#release();
-    const isDone = released.isOk() || released.error.failure === OrderFailure.Refused;
-    this.#kept = afterRelease(this.#kept, isDone);
+    const released = await this.#context.memory.release(this.#helper.server, this.#owner.name);
+    this.#kept = afterRelease(this.#kept, this.#note(MemoryOrder.Release, released));
     if (released.isErr()) {
       this.#logFailure(MemoryOrder.Release, released.error);
       await this.#pause(RELEASE_RETRY_MS);
@@ -227,15 +226,11 @@
     }
   }
 
-  async #release(): Promise<Result<void, MemoryError>> {
-    const { server } = this.#helper;
-    return this.#note(MemoryOrder.Release, await this.#context.memory.release(server, this.#owner.name));
-  }
-
-  #note(order: MemoryOrder, result: Result<void, MemoryError>): Result<void, MemoryError> {
+  /** Counts an order, and gives why it failed. */
+  #note(order: MemoryOrder, result: Result<void, MemoryError>): OrderFailure | undefined {
     const failure = result.isErr() ? result.error.failure : undefined;
     this.unanswered += failure === OrderFailure.Unanswered ? 1 : 0;
     this.#context.metrics.countOrder(order, failure);
-    return result;
+    return failure;
   }
 }
--- a/packages/forwarding/src/renewal.ts
+++ b/packages/forwarding/src/renewal.ts
@@ -5,6 +5,7 @@
  * memory of all helpers until the deadline. An engine carries out an order late that it did not answer: memory comes back
  * after its release. In both, what the engine shows decides, not what the entry expects.
  */
+import { OrderFailure } from './memory.js';
 
 /** What an engine shows of a reservation. */
 export enum MemoryUse {
@@ -49,10 +50,8 @@
   readonly wasUsed: boolean;
   /** Looks in a row at which no request used it. */
   readonly idleLooks: number;
-  /** When the engine frees it unless it is renewed, in milliseconds. */
+  /** Until when the engine may hold it unless it is renewed, in milliseconds; 0 where it does not. */
   readonly heldUntilMs: number;
-  /** Whether the engine may hold it. */
-  readonly isHeld: boolean;
   /** Until when the engine may carry out an order that it did not answer, in milliseconds. */
   readonly inDoubtUntilMs: number;
 }
@@ -64,7 +63,7 @@
  * @returns what is known
  */
 export function unreserved(nowMs: number): KeptMemory {
-  return { sinceMs: nowMs, wasUsed: false, idleLooks: 0, heldUntilMs: 0, isHeld: false, inDoubtUntilMs: 0 };
+  return { sinceMs: nowMs, wasUsed: false, idleLooks: 0, heldUntilMs: 0, inDoubtUntilMs: 0 };
 }
 
 /** Bounds on memory that no request uses, in milliseconds. */
@@ -118,33 +117,37 @@
  *
  * @param kept - what was known before
  * @param holdMs - for how long memory was asked, in milliseconds
- * @param isAnswered - whether the engine answered the order, or never got it
+ * @param failure - why it was not done; undefined where it was
  * @param nowMs - now, in milliseconds
  * @returns what is known now
  */
 export function afterReserve(
   kept: KeptMemory,
   holdMs: number,
-  isAnswered: boolean,
+  failure: OrderFailure | undefined,
   nowMs: number,
 ): KeptMemory {
-  return {
-    ...kept,
-    isHeld: true,
-    heldUntilMs: nowMs + holdMs,
-    inDoubtUntilMs: isAnswered ? kept.inDoubtUntilMs : nowMs + LATE_ORDER_MS,
-  };
+  switch (failure) {
+    case undefined:
+      return { ...kept, heldUntilMs: nowMs + holdMs };
+    case OrderFailure.Unanswered:
+      return { ...kept, heldUntilMs: nowMs + holdMs, inDoubtUntilMs: nowMs + LATE_ORDER_MS };
+    case OrderFailure.NotSent:
+    case OrderFailure.Refused:
+      return kept;
+  }
 }
 
 /**
  * Takes in the outcome of an order that gives memory back.
  *
  * @param kept - what was known before
- * @param isDone - whether the engine holds nothing any more
- * @returns what is known now
+ * @param failure - why it was not done; undefined where it was
+ * @returns what is known now: an engine that declines holds nothing under that name
  */
-export function afterRelease(kept: KeptMemory, isDone: boolean): KeptMemory {
-  return { ...kept, isHeld: !isDone };
+export function afterRelease(kept: KeptMemory, failure: OrderFailure | undefined): KeptMemory {
+  const isFree = failure === undefined || failure === OrderFailure.Refused;
+  return isFree ? { ...kept, heldUntilMs: 0 } : kept;
 }
 
 /**
@@ -179,9 +182,9 @@
   switch (use) {
     case MemoryUse.Used:
     case MemoryUse.Idle:
-      return { ...kept, isHeld: true, heldUntilMs: nowMs + holdMs };
+      return { ...kept, heldUntilMs: nowMs + holdMs };
     case MemoryUse.Absent:
-      return { ...kept, isHeld: false };
+      return { ...kept, heldUntilMs: 0 };
     case MemoryUse.Unknown:
       return kept;
   }
@@ -218,7 +221,7 @@
  * @returns what is done
  */
 export function decideReturn(kept: KeptMemory, nowMs: number): ReturnDecision {
-  if (kept.isHeld && nowMs < kept.heldUntilMs) {
+  if (nowMs < kept.heldUntilMs) {
     return ReturnDecision.Release;
   }
   return nowMs < kept.inDoubtUntilMs ? ReturnDecision.Look : ReturnDecision.Done;
--- a/packages/forwarding/src/reservation.ts
+++ b/packages/forwarding/src/reservation.ts
@@ -96,7 +96,6 @@
     failures: errors.map((error) => `${error.server}: ${error.failure} ${error.message}`),
   });
   if (errors.length > 0) {
-    // An order whose answer was lost may still be carried out, so the memory is released everywhere.
     held.release(ReleaseCause.Incomplete);
     return errors;
   }
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -1,43 +1,19 @@
 /** Memory at engines is free again in time after its request, whatever the entry hears. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createManualClock } from '@toucanbend/core';
 import {
   MemoryOrder,
+  OrderFailure,
   ReleaseCause,
   type Reservation,
   reservationTimes,
-  reserveParts,
 } from '@toucanbend/forwarding';
-import { type Logger } from '@toucanbend/observability';
-import { type Helper } from '@toucanbend/placement';
-import { ServerState } from '@toucanbend/registry';
-import { type LateOrder, TestEngines } from './support/engines.js';
+import { bounds, helper, type OrderFault, RESERVATION, TestEngines } from './support/engines.js';
 
-/** Time after the end of a request in which its memory must be free, in milliseconds. */
-const RETURN_MS = 4_000;
-/** Longest time for which memory may be set aside before a request uses it, in milliseconds. */
-const UNUSED_MS = 9_000;
-/** Longest time for which memory that comes back after that may stay, in milliseconds. */
+const { returnMs: RETURN_MS, unusedMs: UNUSED_MS } = bounds;
+/** Longest time for which memory that comes back after the bound may stay, in milliseconds. */
 const STRETCH_MS = 2_000;
 
-const ignore = (): void => undefined;
-const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
-
-function helper(id: string): Helper {
-  const server = {
-    id,
-    service: 'model',
-    host: '10.0.0.1',
-    port: 80,
-    dataCentre: 'bagmati-a',
-    slots: 4,
-    state: ServerState.Ready,
-    bornAtMs: 0,
-  };
-  return { server, partTokens: 100_000, keepsPart: true };
-}
-
 interface Held {
   readonly engines: TestEngines;
   readonly reservation: Reservation;
@@ -45,24 +21,13 @@
   idleCount(): number;
 }
 
-async function hold(late: readonly LateOrder[] = []): Promise<Held> {
-  const clock = createManualClock();
-  const engines = new TestEngines(clock, late);
+async function hold(...faults: readonly OrderFault[]): Promise<Held> {
+  const engines = new TestEngines(faults);
   let idle = 0;
-  const reserved = await reserveParts(
-    {
-      clock,
-      logger,
-      memory: engines,
-      metrics: { countOrder: ignore },
-      memoryBounds: { returnMs: RETURN_MS, unusedMs: UNUSED_MS },
-    },
-    { requestId: 'r', name: 'r-1', server: helper('first').server },
-    [helper('e1'), helper('e2')],
-  );
+  const reserved = await engines.reserveFor(helper('e1'), helper('e2'));
   assert.ok('release' in reserved);
   reserved.onIdle(() => (idle += 1));
-  engines.use('r-1', true);
+  engines.use(RESERVATION, true);
   return { engines, reservation: reserved, idleCount: () => idle };
 }
 
@@ -70,9 +35,9 @@
   it('is free in time though the server fell silent', async () => {
     const { engines, idleCount } = await hold();
     await engines.pass(2_500);
-    engines.use('r-1', false);
+    engines.use(RESERVATION, false);
     await engines.pass(15_000);
-    assert.equal(engines.longestHoldAfter('r-1', 2_500 + RETURN_MS), 0);
+    assert.equal(engines.longestHoldAfter(RESERVATION, 2_500 + RETURN_MS), 0);
     assert.equal(idleCount(), 1);
   });
 
@@ -80,36 +45,52 @@
     const { engines } = await hold();
     engines.silence('e1');
     await engines.pass(2_500);
-    engines.use('r-1', false);
+    engines.use(RESERVATION, false);
     await engines.pass(15_000);
-    assert.equal(engines.longestHoldAfter('r-1', 2_500 + RETURN_MS), 0);
+    assert.equal(engines.longestHoldAfter(RESERVATION, 2_500 + RETURN_MS), 0);
   });
 
   it('is free in time where no engine ever used it', async () => {
     const { engines } = await hold();
-    engines.use('r-1', false);
+    engines.use(RESERVATION, false);
     engines.silence('first');
     await engines.pass(15_000);
-    assert.equal(engines.longestHoldAfter('r-1', RETURN_MS), 0);
+    assert.equal(engines.longestHoldAfter(RESERVATION, RETURN_MS), 0);
+  });
+});
+
+describe('memory whose renewal was not sent', () => {
+  it('counts as held no longer than the engine holds it', async () => {
+    const { NotSent: failure } = OrderFailure;
+    const { engines, idleCount } = await hold({
+      server: 'e1',
+      order: MemoryOrder.Reserve,
+      after: 1,
+      failure,
+    });
+    await engines.pass(1_100);
+    engines.silence('e1');
+    await engines.pass(2_200);
+    assert.equal(idleCount(), 1);
   });
 });
 
 describe('memory of a request that waits at its server', () => {
   it('is held until the request begins', async () => {
     const { engines, idleCount } = await hold();
-    engines.use('r-1', false);
+    engines.use(RESERVATION, false);
     await engines.pass(4_500);
-    engines.use('r-1', true);
+    engines.use(RESERVATION, true);
     await engines.pass(3_000);
     assert.equal(idleCount(), 0);
-    assert.equal(engines.longestHoldAfter('r-1', 0), 7_500);
+    assert.equal(engines.longestHoldAfter(RESERVATION, 0), 7_500);
   });
 
   it('is free in time where the request never begins', async () => {
     const { engines } = await hold();
-    engines.use('r-1', false);
+    engines.use(RESERVATION, false);
     await engines.pass(15_000);
-    assert.equal(engines.longestHoldAfter('r-1', UNUSED_MS), 0);
+    assert.equal(engines.longestHoldAfter(RESERVATION, UNUSED_MS), 0);
   });
 });
 
@@ -118,44 +99,55 @@
     const { engines, reservation, idleCount } = await hold();
     await engines.pass(14_000);
     assert.equal(idleCount(), 0);
-    assert.equal(engines.longestHoldAfter('r-1', 0), 14_000);
+    assert.equal(engines.longestHoldAfter(RESERVATION, 0), 14_000);
     reservation.release(ReleaseCause.Ended);
-    engines.use('r-1', false);
+    engines.use(RESERVATION, false);
     await engines.pass(10_000);
-    assert.equal(engines.longestHoldAfter('r-1', 14_050), 0);
+    assert.equal(engines.longestHoldAfter(RESERVATION, 14_050), 0);
   });
 });
 
 describe('memory whose renewal got no answer and is carried out late', () => {
   for (const delayMs of [1_500, 4_000, 8_000, 12_000]) {
     it(`does not come back for long after its release (${String(delayMs)} ms)`, async () => {
-      const late = { server: 'e1', order: MemoryOrder.Reserve, after: 1, delayMs } as const;
-      const { engines, reservation } = await hold([late]);
+      const { Unanswered: failure } = OrderFailure;
+      const late = { server: 'e1', order: MemoryOrder.Reserve, after: 1, failure, delayMs } as const;
+      const { engines, reservation } = await hold(late);
       await engines.pass(1_600);
-      engines.use('r-1', false);
+      engines.use(RESERVATION, false);
       reservation.release(ReleaseCause.Ended);
       await engines.pass(20_000);
-      assert.ok(engines.longestHoldAfter('r-1', 1_600 + RETURN_MS) < STRETCH_MS);
+      assert.ok(engines.longestHoldAfter(RESERVATION, 1_600 + RETURN_MS) < STRETCH_MS);
     });
   }
 });
 
 describe('a release that gets no answer', () => {
   it('is sent again', async () => {
-    const late = { server: 'e1', order: MemoryOrder.Release, after: 0, delayMs: undefined } as const;
-    const { engines, reservation } = await hold([late]);
+    const { Unanswered: failure } = OrderFailure;
+    const { engines, reservation } = await hold({
+      server: 'e1',
+      order: MemoryOrder.Release,
+      after: 0,
+      failure,
+    });
     await engines.pass(1_100);
-    engines.use('r-1', false);
+    engines.use(RESERVATION, false);
     reservation.release(ReleaseCause.Ended);
     await engines.pass(1_000);
-    assert.equal(engines.longestHoldAfter('r-1', 1_600), 0);
+    assert.equal(engines.longestHoldAfter(RESERVATION, 1_600), 0);
   });
 });
 
 describe('memory that an engine declined to give back', () => {
   it('is not asked for again', async () => {
-    const { engines, reservation } = await hold();
-    engines.decline('e1');
+    const { Refused: failure } = OrderFailure;
+    const { engines, reservation } = await hold({
+      server: 'e1',
+      order: MemoryOrder.Release,
+      after: 0,
+      failure,
+    });
     reservation.release(ReleaseCause.Ended);
     await engines.pass(5_000);
     assert.equal(engines.count('e1', MemoryOrder.Release), 1);
--- a/packages/forwarding/test/support/engines.ts
+++ b/packages/forwarding/test/support/engines.ts
@@ -1,21 +1,61 @@
-/** Engines that keep reservations by a clock, use them for requests, and may leave orders unanswered. */
-import { type ManualClock } from '@toucanbend/core';
-import { type MemoryError, MemoryOrder, OrderFailure } from '@toucanbend/forwarding';
-import { type BackendServer } from '@toucanbend/registry';
+/** Engines that keep reservations by a clock, use them for requests, and may fail orders. */
+import { createManualClock, type ManualClock } from '@toucanbend/core';
+import {
+  type EngineMemory,
+  type MemoryError,
+  MemoryOrder,
+  OrderFailure,
+  type Reservation,
+  reserveParts,
+} from '@toucanbend/forwarding';
+import { type Logger } from '@toucanbend/observability';
+import { type Helper } from '@toucanbend/placement';
+import { type BackendServer, ServerState } from '@toucanbend/registry';
 import { err, ok, type Result } from 'neverthrow';
 
+/** Bounds on memory that no request uses. */
+export const bounds = { returnMs: 4_000, unusedMs: 9_000 } as const;
+/** Name of the reservation that {@link TestEngines.reserveFor} makes. */
+export const RESERVATION = 'r-1';
+
+const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+const ignore = (): void => undefined;
+const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
+
+/**
+ * Makes a helper.
+ *
+ * @param id - name of its engine
+ * @param keepsPart - whether memory is set aside there
+ * @returns the helper
+ */
+export function helper(id: string, keepsPart = true): Helper {
+  const server: BackendServer = {
+    id,
+    service: 'model',
+    host: '10.0.0.1',
+    port: 80,
+    dataCentre: 'bagmati-a',
+    slots: 4,
+    state: ServerState.Ready,
+    bornAtMs: 0,
+  };
+  return { server, partTokens: 100_000, keepsPart };
+}
+
 /** Time by which the list of what an engine holds lags behind, in milliseconds. */
 const REPORT_LAG_MS = 300;
 const STEP_MS = 50;
 
-/** An order that gets no answer. */
-export interface LateOrder {
+/** An order that fails. */
+export interface OrderFault {
   readonly server: string;
   readonly order: MemoryOrder.Reserve | MemoryOrder.Release;
-  /** How many orders of this kind are answered before. */
+  /** How many orders of this kind succeed before. */
   readonly after: number;
-  /** When it is carried out, after it was sent; it never is where this is undefined. */
-  readonly delayMs: number | undefined;
+  readonly failure: OrderFailure;
+  /** When it is carried out all the same, after it was sent; undefined where it never is. */
+  readonly delayMs?: number;
 }
 
 interface Sight {
@@ -30,7 +70,6 @@
   readonly #sights: Sight[] = [];
   readonly heldAt = new Map<string, number[]>();
   isSilent = false;
-  declines = false;
 
   constructor(clock: ManualClock) {
     this.#clock = clock;
@@ -72,15 +111,29 @@
 }
 
 /** Engines of a test. */
-export class TestEngines {
-  readonly #clock: ManualClock;
-  readonly #late: LateOrder[];
+export class TestEngines implements EngineMemory {
+  readonly #faults: readonly OrderFault[];
   readonly #engines = new Map<string, TestEngine>();
-  readonly #counts = new Map<string, number>();
-
-  constructor(clock: ManualClock, late: readonly LateOrder[] = []) {
-    this.#clock = clock;
-    this.#late = [...late];
+  readonly clock: ManualClock;
+  /** Orders that were sent, in order. */
+  readonly orders: string[] = [];
+
+  /**
+   * @param faults - orders that fail
+   * @param clock - the time at the engines
+   */
+  constructor(faults: readonly OrderFault[] = [], clock = createManualClock()) {
+    this.#faults = faults;
+    this.clock = clock;
+  }
+
+  /** Sets memory aside as the entry does. */
+  reserveFor(...helpers: readonly Helper[]): Promise<Reservation | readonly MemoryError[]> {
+    return reserveParts(
+      { clock: this.clock, logger, memory: this, metrics: { countOrder: ignore }, memoryBounds: bounds },
+      { requestId: 'r', name: RESERVATION, server: helper('first').server },
+      helpers,
+    );
   }
 
   reserve(
@@ -118,21 +171,17 @@
     this.#engine(server).isSilent = true;
   }
 
-  /** Makes an engine decline all orders, as one does that took over the address of another. */
-  decline(server: string): void {
-    this.#engine(server).declines = true;
-  }
-
-  /** Counts the orders of a kind that an engine got. */
-  count(server: string, order: MemoryOrder): number {
-    return this.#counts.get(`${order} at ${server}`) ?? 0;
+  /** Counts the orders of a kind that an engine was sent. */
+  count(server: string, order: MemoryOrder.Reserve | MemoryOrder.Release): number {
+    return this.orders.filter((sent) => sent === `${order} at ${server}`).length;
   }
 
   /** Lets time pass in small steps, each with all that follows from it. */
   async pass(ms: number): Promise<void> {
+    await settle();
     for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
-      this.#clock.advance(STEP_MS);
-      await new Promise((resolve) => setImmediate(resolve));
+      this.clock.advance(STEP_MS);
+      await settle();
       this.#engines.forEach((engine) => {
         engine.step();
       });
@@ -155,7 +204,7 @@
   }
 
   #engine(server: string): TestEngine {
-    const engine = this.#engines.get(server) ?? new TestEngine(this.#clock);
+    const engine = this.#engines.get(server) ?? new TestEngine(this.clock);
     this.#engines.set(server, engine);
     return engine;
   }
@@ -166,20 +215,18 @@
     carryOut: () => void,
   ): Promise<Result<void, MemoryError>> {
     const before = this.count(server, order);
-    this.#counts.set(`${order} at ${server}`, before + 1);
-    if (this.#engine(server).declines) {
-      return Promise.resolve(err({ server, failure: OrderFailure.Refused, message: 'status 421' }));
-    }
-    const late = this.#late.find(
+    this.orders.push(`${order} at ${server}`);
+    const fault = this.#faults.find(
       (one) => one.server === server && one.order === order && one.after === before,
     );
-    if (late === undefined) {
+    if (fault === undefined) {
       carryOut();
       return Promise.resolve(ok());
     }
-    if (late.delayMs !== undefined) {
-      this.#clock.after(late.delayMs, carryOut);
+    const { failure, delayMs } = fault;
+    if (delayMs !== undefined) {
+      this.clock.after(delayMs, carryOut);
     }
-    return Promise.resolve(err({ server, failure: OrderFailure.Unanswered, message: 'no answer' }));
+    return Promise.resolve(err({ server, failure, message: 'planted' }));
   }
 }
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -202,8 +202,8 @@
     promise: 'no memory lost',
     mistake: 'an order without an answer counts as not carried out',
     file: 'packages/forwarding/src/renewal.ts',
-    from: 'isAnswered ? kept.inDoubtUntilMs : nowMs + LATE_ORDER_MS',
-    to: 'kept.inDoubtUntilMs',
+    from: 'inDoubtUntilMs: nowMs + LATE_ORDER_MS',
+    to: 'inDoubtUntilMs: 0',
     tests: 'reservation-return',
   },
   {
