--- /dev/null
+++ b/fakes/engine-parameters.ts
@@ -0,0 +1,16 @@
+/** An engine as its operator might publish it, for tests of placement and forwarding. */
+import { type EngineParameters } from '@toucanbend/engine-model';
+
+/** It holds 200,000 tokens. */
+export const smallEngine: EngineParameters = {
+  slots: 8,
+  memoryTokens: 200_000,
+  stepsPerPass: 43,
+  chunkTokens: 2_048,
+  stepMs: 1,
+  generatingMs: 0.003,
+  contextMsPerThousand: 0.004,
+  prefillTokensPerMs: 206,
+  attentionMsPerMillionPairs: 0.138,
+  helperHopMs: 0.075,
+};
--- a/packages/forwarding/test/endless.test.ts
+++ b/packages/forwarding/test/endless.test.ts
@@ -5,6 +5,7 @@
 import { paths, startTestGateway } from './support/gateway.js';
 import {
   answerTo,
+  firstThen,
   callAs,
   type ReceivedRequest,
   type Script,
@@ -58,12 +59,7 @@
 };
 
 async function callBefore(first: Script, path: string, well: Script): Promise<void> {
-  let isFirst = true;
-  const script: Script = (socket, request) => {
-    const chosen = isFirst ? first : well;
-    isFirst = false;
-    chosen(socket, request);
-  };
+  const script = firstThen(first, well);
   const servers = await Promise.all([startScriptedServer(script), startScriptedServer(script)]);
   const gateway = await startTestGateway(servers.map((server) => server.port));
   open.push(gateway, ...servers);
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -2,11 +2,13 @@
 import assert from 'node:assert/strict';
 import { type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
+import { createManualClock } from '@toucanbend/core';
 import { catalogue, paths, startTestGateway, type TestGateway } from './support/gateway.js';
 import {
   answerTo,
   callAs,
   type CallerResult,
+  firstThen,
   type ReceivedRequest,
   type Script,
   type ScriptedServer,
@@ -51,16 +53,6 @@
 };
 const failed: Script = (socket, request) => socket.end(answerTo(request, 'broken', { status: 500 }));
 
-/** Answers the first request by one script and all others by another. */
-function firstThen(first: Script, others: Script): Script {
-  let isFirst = true;
-  return (socket, request) => {
-    const script = isFirst ? first : others;
-    isFirst = false;
-    script(socket, request);
-  };
-}
-
 /** A fleet of two servers of which whichever is asked first behaves badly. */
 function startWithBadFirst(bad: Script, good: Script = well): Promise<Fleet> {
   const shared = firstThen(bad, good);
@@ -138,7 +130,7 @@
 
   it('says that nothing has run, and when to come back, while no catalogue is known', async () => {
     const server = await startScriptedServer(well);
-    const gateway = await startTestGateway([server.port], null);
+    const gateway = await startTestGateway([server.port], { known: null });
     open.push(server, gateway);
     const answer = await callAs({ port: gateway.port, path: paths.once }).result;
     assert.equal(answer.status, 503);
@@ -332,13 +324,14 @@
     { timeout: 20_000 },
     async () => {
       const server = await startScriptedServer(() => undefined);
-      const gateway = await startTestGateway([server.port], catalogue, true);
+      const clock = createManualClock();
+      const gateway = await startTestGateway([server.port], { clock });
       open.push(server, gateway);
       const { result } = callAs({ port: gateway.port, path: paths.once, headers: { patience: '700' } });
       while (server.received.length === 0) {
         await new Promise((resolve) => setImmediate(resolve));
       }
-      gateway.clock.advance(701);
+      clock.advance(701);
       assert.equal((await result).status, 504);
     },
   );
@@ -352,13 +345,14 @@
         socket.end('0\r\n\r\n');
       };
     });
-    const gateway = await startTestGateway([server.port], catalogue, true);
+    const clock = createManualClock();
+    const gateway = await startTestGateway([server.port], { clock });
     open.push(server, gateway);
     const { result } = callAs({ port: gateway.port, path: paths.stream });
     while (server.received.length === 0) {
       await new Promise((resolve) => setImmediate(resolve));
     }
-    gateway.clock.advance(3_500);
+    clock.advance(3_500);
     answer();
     assert.equal((await result).body, events(1, 2));
   });
@@ -367,7 +361,7 @@
 describe('an entry that has just started', () => {
   it('serves a request that came before its first configuration', async () => {
     const server = await startScriptedServer(well);
-    const gateway = await startTestGateway([server.port], null, false, true);
+    const gateway = await startTestGateway([server.port], { known: null, learnsLater: true });
     open.push(server, gateway);
     const { result } = callAs({ port: gateway.port, path: paths.repeatable, body: '' });
     assert.equal(server.received.length, 0);
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -1,5 +1,5 @@
 /** A port for callers with a dialect of the tests, before scripted servers. */
-import { createManualClock, createRandom, createSystemClock, type ManualClock } from '@toucanbend/core';
+import { createRandom, createSystemClock, type ManualClock } from '@toucanbend/core';
 import {
   type CallerPort,
   createCallerPort,
@@ -125,7 +125,6 @@
 /** A running port and what it has logged. */
 export interface TestGateway {
   readonly port: number;
-  readonly clock: ManualClock;
   readonly lines: DecisionLine[];
   readonly callerPort: CallerPort;
   setLeaving(): void;
@@ -152,25 +151,30 @@
   };
 }
 
+/** What may differ from a port with a known catalogue on the system's time. */
+export interface TestGatewayOptions {
+  /** Null where none is known yet. */
+  readonly known?: Catalogue | null;
+  /** Time that stands still unless a test moves it. */
+  readonly clock?: ManualClock;
+  /** Whether requests wait until the test makes a catalogue known. */
+  readonly learnsLater?: boolean;
+  readonly memory?: EngineMemory;
+}
+
 /**
  * Starts a port for callers before servers.
  *
  * @param ports - ports of the servers, in order of preference while all are idle
- * @param known - the catalogue; null where none is known yet
- * @param useManualClock - whether time stands still unless a test moves it
- * @param learnsLater - whether requests wait until the test makes a catalogue known
- * @param memory - memory at the servers
+ * @param options - what differs
  * @returns the port, once it listens
  */
 export async function startTestGateway(
   ports: readonly number[],
-  known: Catalogue | null = catalogue,
-  useManualClock = false,
-  learnsLater = false,
-  memory: EngineMemory = noMemory,
+  options: TestGatewayOptions = {},
 ): Promise<TestGateway> {
+  const { known = catalogue, clock = createSystemClock(), learnsLater = false, memory = noMemory } = options;
   const lines: DecisionLine[] = [];
-  const clock = createManualClock();
   let isLeaving = false;
   let takesRequests = true;
   const records: RegistryRecord[] = ports.map((port, index) => serverRecord(`s${String(index)}`, port));
@@ -183,7 +187,7 @@
     learn = resolve;
   });
   const context: ForwardingContext = {
-    clock: useManualClock ? clock : createSystemClock(),
+    clock,
     random: createRandom(1),
     logger: createRecordingLogger(lines),
     metrics: createForwardingMetrics(new MetricsRegistry()),
@@ -205,7 +209,6 @@
   const port = await callerPort.listen('127.0.0.1', 0);
   return {
     port,
-    clock,
     lines,
     callerPort,
     refuseRequests: () => {
--- a/packages/forwarding/test/support/stand-in.ts
+++ b/packages/forwarding/test/support/stand-in.ts
@@ -119,6 +119,22 @@
   return `${lines.join('\r\n')}\r\n\r\n${body}`;
 }
 
+/**
+ * Answers the first request by one script and all others by another, at whichever server they arrive.
+ *
+ * @param first - answers the first request
+ * @param others - answers the others
+ * @returns the script for all servers
+ */
+export function firstThen(first: Script, others: Script): Script {
+  let isFirst = true;
+  return (socket, request) => {
+    const script = isFirst ? first : others;
+    isFirst = false;
+    script(socket, request);
+  };
+}
+
 /** What a caller got. */
 export interface CallerResult {
   readonly status: number;
--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -26,19 +26,8 @@
   ServerState,
   type Service,
 } from '@toucanbend/registry';
+import { smallEngine as engine } from '../../../fakes/engine-parameters.js';
 
-const engine: EngineParameters = {
-  slots: 8,
-  memoryTokens: 200_000,
-  stepsPerPass: 43,
-  chunkTokens: 2_048,
-  stepMs: 1,
-  generatingMs: 0.003,
-  contextMsPerThousand: 0.004,
-  prefillTokensPerMs: 206,
-  attentionMsPerMillionPairs: 0.138,
-  helperHopMs: 0.075,
-};
 const model: Service = { name: 'model', maxConnections: 100, engine };
 const desk: Service = { name: 'desk', maxConnections: 100, engine: undefined };
 
