fakes: fleets split by concept; one way to find free ports

Cause: fleet.ts had grown to 410 lines with plan, processes and fleet in one; freePorts took ports from the range of outgoing connections, which another process may take before they are listened on, while the soak had a second finder that avoids it. Moves otherwise. That the ports were why a fleet's entry once ended at its start is suspected, not shown.

--- a/fakes/demonstration.ts
+++ b/fakes/demonstration.ts
@@ -8,7 +8,7 @@
 import { serveEngine } from './engine.js';
 import { callJson, CONFIRM_PATH, MODEL, SERVICE, until } from './fleet.js';
 import { serveHosts } from './hosts.js';
-import { freePorts } from './processes.js';
+import { freePorts } from './ports.js';
 import { serveService } from './service.js';
 import { serveStore } from './store.js';
 import { expectedAnswer } from './text.js';
--- a/fakes/fleet.ts
+++ b/fakes/fleet.ts
@@ -1,91 +1,17 @@
 /** A whole fleet of real processes on loopback: entries, sides, and stand-ins for all that is not ours. */
 import { CONFIGURATION_KEY } from '@toucanbend/configuration';
-import { hashKey } from '@toucanbend/core';
-import { mkdtempSync, writeFileSync } from 'node:fs';
+import { mkdtempSync } from 'node:fs';
 import { request } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { stringify } from 'smol-toml';
-import { type EngineOptions } from './engine.js';
+import { type FleetFake, type FleetNode, startBackend, startFake, startNode } from './fleet-node.js';
+import { documentOf, type FleetPlan, keyOf } from './fleet-plan.js';
+import { freePorts } from './ports.js';
+import { ProcessGroup } from './processes.js';
 import { type RelayRoute } from './relay.js';
-import { type FleetProcess, freePorts, ProcessGroup, startProcess } from './processes.js';
 
-/** A model engine or plain service of a fleet. */
-export interface BackendPlan {
-  readonly name: string;
-  readonly dataCentre: string;
-  /** Speed of an engine; absent for a plain service. */
-  readonly engine?: Omit<EngineOptions, 'port' | 'models'>;
-  /** Time that a call of a plain service takes, in milliseconds. */
-  readonly serviceDelayMs?: number;
-  readonly scheduler?: Readonly<Record<string, number>>;
-}
-
-/** A client account of a fleet; its key follows from its name. */
-export interface AccountPlan {
-  readonly name: string;
-  readonly weight?: number;
-  readonly defaultRank?: string;
-  readonly maxConcurrent?: number;
-  readonly closed?: boolean;
-}
-
-/** What a fleet consists of. */
-export interface FleetPlan {
-  readonly dataCentres: readonly { readonly name: string; readonly region: string }[];
-  readonly entries: readonly { readonly name: string; readonly dataCentre: string }[];
-  readonly backends: readonly BackendPlan[];
-  readonly accounts: readonly AccountPlan[];
-  readonly ranks?: readonly object[];
-  readonly entrySettings?: Readonly<Record<string, number>>;
-  readonly sideSettings?: Readonly<Record<string, number>>;
-  readonly linkSettings?: Readonly<Record<string, number>>;
-  readonly logLevel?: string;
-  /** Program of the nodes, in the folder of distribution. */
-  readonly binary?: string;
-  /** Delay each way to sides of a data centre as others see it, in milliseconds, by name; absent without relays. */
-  readonly relayDelaysMs?: Readonly<Record<string, number>>;
-  readonly relayJitterMs?: number;
-}
-
-/** Name of the model that every engine of a fleet serves. */
-export const MODEL = 'model-a';
-/** Name of the plain service that every service of a fleet serves. */
-export const SERVICE = 'orders';
-/** Path of the call that must not be repeated. */
-export const CONFIRM_PATH = `/services/${SERVICE}/confirm`;
-
-/** Key of an operator who may change the configuration. */
-export const OPERATOR_KEY = 'key-of-the-keeper';
-/** Key of an operator who may only read. */
-export const READER_KEY = 'key-of-the-reader';
-
-const defaultRanks = [
-  { name: 'urgent', firstTokenTargetMs: 5_000, deadlineMs: 30_000, floor: 0.5 },
-  { name: 'standard', firstTokenTargetMs: 10_000, deadlineMs: 60_000, floor: 0.2 },
-  { name: 'batch', firstTokenTargetMs: 30_000, deadlineMs: 120_000, floor: 0.1 },
-];
-
-/** A node of the system in a running fleet. */
-export interface FleetNode {
-  readonly name: string;
-  process: FleetProcess;
-  readonly operatorPort: number;
-  readonly peerPort: number;
-  /** Port for callers; 0 for a side. */
-  readonly callerPort: number;
-  readonly dataCentre: string;
-  /** Starts the process again after it has ended. */
-  readonly restart: () => Promise<void>;
-}
-
-/** A stand-in in a running fleet. */
-export interface FleetFake {
-  readonly name: string;
-  process: FleetProcess;
-  readonly port: number;
-  readonly restart: () => Promise<void>;
-}
+export { type FleetFake, type FleetNode } from './fleet-node.js';
+export * from './fleet-plan.js';
 
 /** A running fleet. */
 export interface Fleet {
@@ -166,130 +92,6 @@
   }
 }
 
-async function startFake(
-  kind: string,
-  name: string,
-  options: object,
-  group: ProcessGroup,
-): Promise<FleetFake> {
-  const [port = 0] = await freePorts(1);
-  const start = (): Promise<FleetProcess> =>
-    startProcess(name, 'fakes.cjs', [kind, JSON.stringify({ ...options, port })], group);
-  const fake: FleetFake = {
-    name,
-    port,
-    process: await start(),
-    restart: async () => {
-      fake.process = await start();
-    },
-  };
-  return fake;
-}
-
-interface NodeFile {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly region: string;
-  readonly role: 'entry' | 'side';
-  readonly table: object;
-  readonly scheduler?: Readonly<Record<string, number>>;
-}
-
-async function startNode(
-  file: NodeFile,
-  folder: string,
-  platform: object,
-  plan: FleetPlan,
-  seed: number,
-  group: ProcessGroup,
-): Promise<FleetNode> {
-  const [peerPort = 0, operatorPort = 0, callerPort = 0] = await freePorts(3);
-  const { name, dataCentre, region, role } = file;
-  const table =
-    role === 'entry' ? { callerAddress: `127.0.0.1:${String(callerPort)}`, ...file.table } : file.table;
-  const settings = {
-    node: {
-      name,
-      dataCentre,
-      region,
-      peerAddress: `127.0.0.1:${String(peerPort)}`,
-      operatorAddress: `127.0.0.1:${String(operatorPort)}`,
-      peerKeys: ['a-peer-key-for-tests-only'],
-      seed,
-    },
-    platform,
-    links: plan.linkSettings ?? {},
-    log: { level: plan.logLevel ?? 'warn' },
-    scheduler: file.scheduler ?? {},
-    [role]: table,
-  };
-  const path = join(folder, `${name}.toml`);
-  writeFileSync(path, stringify(settings));
-  const start = (): Promise<FleetProcess> =>
-    startProcess(name, plan.binary ?? 'toucanbend.cjs', [role, '--settings', path], group);
-  const node: FleetNode = {
-    name,
-    dataCentre,
-    peerPort,
-    operatorPort,
-    callerPort: role === 'entry' ? callerPort : 0,
-    process: await start(),
-    restart: async () => {
-      node.process = await start();
-    },
-  };
-  return node;
-}
-
-function serverOf(backend: BackendPlan, side: FleetNode, port: number): object {
-  return {
-    name: backend.name,
-    host: side.name,
-    dataCentre: backend.dataCentre,
-    address: `127.0.0.1:${String(port)}`,
-    kind: backend.engine === undefined ? 'service' : 'model',
-    serves: [backend.engine === undefined ? SERVICE : MODEL],
-    checksFencing: false,
-  };
-}
-
-const keyOf = (account: string): string => `key-of-${account}`;
-
-function documentOf(
-  plan: FleetPlan,
-  sides: readonly FleetNode[],
-  ports: readonly number[],
-): Record<string, unknown> {
-  return {
-    revision: 1,
-    accounts: plan.accounts.map((account) => ({
-      weight: 1,
-      defaultRank: 'standard',
-      maxConcurrent: 10_000,
-      ...account,
-      keyHashes: [hashKey(keyOf(account.name))],
-    })),
-    ranks: plan.ranks ?? defaultRanks,
-    models: [{ name: MODEL }],
-    services: [{ name: SERVICE, nonIdempotent: ['POST /confirm'] }],
-    dataCentres: plan.dataCentres,
-    operators: [
-      { name: 'keeper', keyHashes: [hashKey(OPERATOR_KEY)], write: true },
-      { name: 'reader', keyHashes: [hashKey(READER_KEY)], write: false },
-    ],
-    servers: plan.backends.flatMap((backend, index) => {
-      const side = sides[index];
-      return side === undefined ? [] : [serverOf(backend, side, ports[index] ?? side.peerPort)];
-    }),
-  };
-}
-
-async function startBackend(plan: BackendPlan, group: ProcessGroup): Promise<FleetFake> {
-  return plan.engine === undefined
-    ? startFake('service', plan.name, { delayMs: plan.serviceDelayMs ?? 5 }, group)
-    : startFake('engine', plan.name, { ...plan.engine, models: [MODEL] }, group);
-}
-
 /**
  * Starts a fleet and waits until every node is ready; where that fails, none of its processes is left.
  *
--- a/fakes/processes.ts
+++ b/fakes/processes.ts
@@ -1,6 +1,5 @@
 /** Starting the processes of a fleet on loopback, for tests and measurements. */
 import { type ChildProcess, spawn } from 'node:child_process';
-import { createServer } from 'node:net';
 import { join } from 'node:path';
 
 /** Folder of the bundled programs. */
@@ -17,29 +16,6 @@
   signal(signal: NodeJS.Signals): void;
 }
 
-/**
- * Finds free loopback ports.
- *
- * @param count - how many
- * @returns the ports
- */
-export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, '127.0.0.1', () => {
-            const address = server.address();
-            resolve(typeof address === 'object' && address !== null ? address.port : 0);
-          });
-        }),
-    ),
-  );
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
-
 /** Processes that end together. */
 export class ProcessGroup {
   readonly #children: ChildProcess[] = [];
