forwarding: forward.ts split by concept

Cause: the process of a request had 445 lines, in which the sequence of its attempts was hard to see. Change: dispatch.ts sends an attempt, placed-shares.ts notes where work lies; the shares of an attempt are worked out once instead of at the beginning and again at the end. Moves otherwise; 445 lines become 409. Result: forwarding, 76 tests pass.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -20,7 +20,7 @@
   type Registry,
   RepeatPolicy,
 } from '@toucanbend/registry';
-import { type Attempt, AttemptFailure, startAttempt } from './attempt.js';
+import { type Attempt, AttemptFailure } from './attempt.js';
 import { type CallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
 import {
   type AttemptResult,
@@ -32,15 +32,15 @@
 import { type AnswerTiming, describeDecision, unmeasured } from './description.js';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
+import { dispatchAttempt } from './dispatch.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
 import { ReleaseCause } from './held-part.js';
 import { type MemoryError } from './memory.js';
 import { mayFollow, noAttempts, outcomeOf, recordAttempt } from './repeat.js';
+import { placeShares, removeShares } from './placed-shares.js';
 import { reserveParts } from './reservation.js';
 import { acceptedSilenceMs } from './silence.js';
 
-/** Longest time for a connection to a server: several round trips, far below a packet's retransmission. */
-const CONNECT_TIMEOUT_MS = 300;
 /** Time between two looks for a better place while a server is silent, in milliseconds. */
 const SILENCE_STEP_MS = 250;
 /** How many times its target a moved request may take to its next event: a later one is not worth the move. */
@@ -165,11 +165,12 @@
     const { book, clock, tell } = this.#context;
     this.#attemptNumber += 1;
     this.#tried.add(server.id);
-    this.#place(server, helpers);
+    const shares = sharesOf(this.#job, server, helpers);
+    placeShares(this.#context, this.#request.service.engine, shares);
     const owner = { requestId: this.#request.head.requestId, name: this.#reservationName(), server };
     const reserved = yield* settle(reserveParts(this.#context, owner, helpers));
     if (!('release' in reserved)) {
-      this.#remove(server, helpers);
+      removeShares(this.#context, shares);
       this.#noteRefusedMemory(server, reserved);
       return undefined;
     }
@@ -183,12 +184,12 @@
     let attempt: Attempt | undefined;
     let result: AttemptResult;
     try {
-      attempt = this.#start(server, helpers);
+      attempt = this.#dispatch(server, helpers);
       result = yield* this.#follow(server, attempt);
     } finally {
       attempt?.cancel();
       reserved.release(ReleaseCause.Ended, clock.now() - this.#heardAtMs);
-      this.#remove(server, helpers);
+      removeShares(this.#context, shares);
     }
     if (result.failure === undefined) {
       book.succeeded(server.id);
@@ -226,53 +227,16 @@
     return `${this.#job.id}-${String(this.#attemptNumber)}`;
   }
 
-  #place(server: BackendServer, helpers: readonly Helper[]): void {
-    const { book, clock, tell, planner } = this.#context;
-    const { engine } = this.#request.service;
-    const atMs = clock.now();
-    for (const share of sharesOf(this.#job, server, helpers)) {
-      book.placed(planner.entry, share.server.id, engine, share.job, atMs);
-      tell({ kind: NewsKind.Placed, server: share.server.id, job: share.job, atMs });
-    }
-  }
-
-  #remove(server: BackendServer, helpers: readonly Helper[]): void {
-    const { book, tell } = this.#context;
-    for (const share of sharesOf(this.#job, server, helpers)) {
-      book.ended(share.server.id, share.job.id);
-      tell({ kind: NewsKind.Ended, server: share.server.id, jobId: share.job.id });
-    }
-  }
-
-  #start(server: BackendServer, helpers: readonly Helper[]): Attempt {
-    const { clock, dialect } = this.#context;
-    const { head, method, path, body, account, rank } = this.#request;
-    const number = this.#attemptNumber;
-    const headers = dialect.writeAttempt(this.#request.headers, {
-      timeLeftMs: this.#timeLeftMs(),
-      serverId: server.id,
-      account,
-      rank,
+  #dispatch(server: BackendServer, helpers: readonly Helper[]): Attempt {
+    const attempt = this.#attemptNumber;
+    return dispatchAttempt(this.#context, this.#request, {
+      server,
+      helpers,
+      reservation: this.#reservationName(),
       lastEventId: this.#lastEventId,
-      helpers: helpers.map((helper) => ({
-        host: helper.server.host,
-        port: helper.server.port,
-        reservation: helper.keepsPart ? this.#reservationName() : undefined,
-      })),
-    });
-    return startAttempt({
-      host: server.host,
-      port: server.port,
-      method,
-      path,
-      headers,
-      body,
-      requestId: head.requestId,
-      connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, this.#timeLeftMs()),
-      clock,
-      dialect,
+      timeLeftMs: this.#timeLeftMs(),
       report: (event) => {
-        this.#inbox.send({ type: ForwardMessageType.Attempt, attempt: number, event });
+        this.#inbox.send({ type: ForwardMessageType.Attempt, attempt, event });
       },
     });
   }
