Mutants: the mistake about unsigned answers follows the code

Cause: the check of the signature moved from the end of an answer to its head, and the planted mistake no longer applied: a run of all mutants would have ended there with an error. Found by holding each mistake against its file. Change: it is planted where the check stands now. Result: seen, with the tests that the run names; all 31 mistakes apply to their files.

--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -138,8 +138,8 @@
     promise: 'the whole answer',
     mistake: 'an answer that no server vouches for is passed on',
     file: 'packages/forwarding/src/follower.ts',
-    from: 'if (start?.isSigned !== true) {',
-    to: 'if (start === undefined) {',
+    from: 'return event.start.isSigned ? undefined : unsigned(event.start);',
+    to: 'return undefined;',
     tests: 'forwarding.test',
   },
   {
