A reservation is told at its start whom idle memory concerns

Cause: who learns that memory is idle was set after the reservation had begun, on an object that already kept looking; a look before that would have told nobody, and only the order of lines prevented it. Change: the owner of a reservation names its handler; the setter goes.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -34,7 +34,7 @@
 import { type ForwardingContext } from './context.js';
 import { dispatchAttempt } from './dispatch.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
-import { ReleaseCause } from './held-part.js';
+import { ReleaseCause, type ReservationOwner } from './held-part.js';
 import { type MemoryError } from './memory.js';
 import { mayFollow, noAttempts, outcomeOf, recordAttempt } from './repeat.js';
 import { placeShares, removeShares } from './placed-shares.js';
@@ -167,8 +167,7 @@
     this.#tried.add(server.id);
     const shares = sharesOf(this.#job, server, helpers);
     placeShares(this.#context, this.#request.service.engine, shares);
-    const owner = { requestId: this.#request.head.requestId, name: this.#reservationName(), server };
-    const reserved = yield* settle(reserveParts(this.#context, owner, helpers));
+    const reserved = yield* settle(reserveParts(this.#context, this.#owner(server), helpers));
     if (!('release' in reserved)) {
       removeShares(this.#context, shares);
       this.#noteRefusedMemory(server, reserved);
@@ -177,10 +176,6 @@
     this.#placedAtMs = clock.now();
     this.#heardAtMs = this.#placedAtMs;
     this.#isMemoryIdle = false;
-    const number = this.#attemptNumber;
-    reserved.onIdle(() => {
-      this.#inbox.send({ type: ForwardMessageType.MemoryIdle, attempt: number });
-    });
     let attempt: Attempt | undefined;
     let result: AttemptResult;
     try {
@@ -211,6 +206,19 @@
     return undefined;
   }
 
+  /** Whose memory is set aside for the running attempt. */
+  #owner(server: BackendServer): ReservationOwner {
+    const attempt = this.#attemptNumber;
+    return {
+      requestId: this.#request.head.requestId,
+      name: this.#reservationName(),
+      server,
+      onIdle: () => {
+        this.#inbox.send({ type: ForwardMessageType.MemoryIdle, attempt });
+      },
+    };
+  }
+
   #noteRefusedMemory(server: BackendServer, errors: readonly MemoryError[]): void {
     errors.forEach((error) => this.#tried.add(error.server));
     this.#history = recordAttempt(this.#history, AttemptFailure.NotSent);
--- a/packages/forwarding/src/held-part.ts
+++ b/packages/forwarding/src/held-part.ts
@@ -54,6 +54,8 @@
   readonly name: string;
   /** The server that gets the request. */
   readonly server: BackendServer;
+  /** Learns, once at most, that an engine does not use the memory any more; all of it has been given back then. */
+  readonly onIdle: () => void;
 }
 
 /** Memory at one engine. */
--- a/packages/forwarding/src/reservation.ts
+++ b/packages/forwarding/src/reservation.ts
@@ -13,12 +13,6 @@
    * @param silentMs - time since the last sign of the request's server, in milliseconds, where there is one
    */
   release(cause: ReleaseCause, silentMs?: number): void;
-  /**
-   * Adds one who learns that an engine does not use the memory any more; everything has been given back then.
-   *
-   * @param handle - called once at most
-   */
-  onIdle(handle: () => void): void;
 }
 
 /** Memory at several engines under one name. */
@@ -26,12 +20,13 @@
   readonly #clock: Clock;
   readonly #parts: readonly HeldPart[];
   readonly #reservedAtMs: number;
+  readonly #onIdle: () => void;
   #isReleased = false;
-  #handleIdle = (): void => undefined;
 
-  constructor(clock: Clock, parts: readonly HeldPart[]) {
+  constructor(clock: Clock, parts: readonly HeldPart[], onIdle: () => void) {
     this.#clock = clock;
     this.#parts = parts;
+    this.#onIdle = onIdle;
     this.#reservedAtMs = clock.now();
   }
 
@@ -43,10 +38,6 @@
     });
   }
 
-  onIdle(handle: () => void): void {
-    this.#handleIdle = handle;
-  }
-
   release(cause: ReleaseCause, silentMs?: number): void {
     if (this.#isReleased) {
       return;
@@ -67,7 +58,7 @@
   #endIdle(): void {
     if (!this.#isReleased) {
       this.release(ReleaseCause.Idle);
-      this.#handleIdle();
+      this.#onIdle();
     }
   }
 }
@@ -87,7 +78,7 @@
 ): Promise<Reservation | readonly MemoryError[]> {
   const keepers = helpers.filter((helper) => helper.keepsPart);
   const parts = keepers.map((helper) => new HeldPart(context, owner, helper));
-  const held = new HeldParts(context.clock, parts);
+  const held = new HeldParts(context.clock, parts, owner.onIdle);
   const results = await Promise.all(parts.map((part) => part.reserve(MemoryOrder.Reserve)));
   const errors = results.flatMap((result) => (result.isErr() ? [result.error] : []));
   parts[0]?.log(MemoryOrder.Reserve, {
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -17,28 +17,24 @@
 interface Held {
   readonly engines: TestEngines;
   readonly reservation: Reservation;
-  /** How often the holder was told that the engines do not use the memory any more. */
-  idleCount(): number;
 }
 
 async function hold(...faults: readonly OrderFault[]): Promise<Held> {
   const engines = new TestEngines(faults);
-  let idle = 0;
   const reserved = await engines.reserveFor(helper('e1'), helper('e2'));
   assert.ok('release' in reserved);
-  reserved.onIdle(() => (idle += 1));
   engines.use(RESERVATION, true);
-  return { engines, reservation: reserved, idleCount: () => idle };
+  return { engines, reservation: reserved };
 }
 
 describe('memory of a request that ended at its server, which the entry does not hear of', () => {
   it('is free in time though the server fell silent', async () => {
-    const { engines, idleCount } = await hold();
+    const { engines } = await hold();
     await engines.pass(2_500);
     engines.use(RESERVATION, false);
     await engines.pass(15_000);
     assert.equal(engines.longestHoldAfter(RESERVATION, 2_500 + RETURN_MS), 0);
-    assert.equal(idleCount(), 1);
+    assert.equal(engines.idleCount, 1);
   });
 
   it('is free in time where an engine does not tell what it holds', async () => {
@@ -62,7 +58,7 @@
 describe('memory whose renewal was not sent', () => {
   it('counts as held no longer than the engine holds it', async () => {
     const { NotSent: failure } = OrderFailure;
-    const { engines, idleCount } = await hold({
+    const { engines } = await hold({
       server: 'e1',
       order: MemoryOrder.Reserve,
       after: 1,
@@ -71,18 +67,18 @@
     await engines.pass(1_100);
     engines.silence('e1');
     await engines.pass(2_200);
-    assert.equal(idleCount(), 1);
+    assert.equal(engines.idleCount, 1);
   });
 });
 
 describe('memory of a request that waits at its server', () => {
   it('is held until the request begins', async () => {
-    const { engines, idleCount } = await hold();
+    const { engines } = await hold();
     engines.use(RESERVATION, false);
     await engines.pass(4_500);
     engines.use(RESERVATION, true);
     await engines.pass(3_000);
-    assert.equal(idleCount(), 0);
+    assert.equal(engines.idleCount, 0);
     assert.equal(engines.longestHoldAfter(RESERVATION, 0), 7_500);
   });
 
@@ -96,9 +92,9 @@
 
 describe('memory of a request that runs', () => {
   it('is held until its release', async () => {
-    const { engines, reservation, idleCount } = await hold();
+    const { engines, reservation } = await hold();
     await engines.pass(14_000);
-    assert.equal(idleCount(), 0);
+    assert.equal(engines.idleCount, 0);
     assert.equal(engines.longestHoldAfter(RESERVATION, 0), 14_000);
     reservation.release(ReleaseCause.Ended);
     engines.use(RESERVATION, false);
--- a/packages/forwarding/test/support/engines.ts
+++ b/packages/forwarding/test/support/engines.ts
@@ -127,11 +127,19 @@
     this.clock = clock;
   }
 
+  /** How often the entry was told that the engines do not use the memory any more. */
+  idleCount = 0;
+
   /** Sets memory aside as the entry does. */
   reserveFor(...helpers: readonly Helper[]): Promise<Reservation | readonly MemoryError[]> {
     return reserveParts(
       { clock: this.clock, logger, memory: this, metrics: { countOrder: ignore }, memoryBounds: bounds },
-      { requestId: 'r', name: RESERVATION, server: helper('first').server },
+      {
+        requestId: 'r',
+        name: RESERVATION,
+        server: helper('first').server,
+        onIdle: () => (this.idleCount += 1),
+      },
       helpers,
     );
   }
