placement: one comparison of single engines and groups of 2 to 17 for every long prompt

No memory waited and no slot was missing. Short streams lay on most engines, so that a part of a prompt was never without harm.

Change: - engine-model: parts have a role. A reader keeps nothing and leaves; a leader keeps the whole prompt and generates when all parts are ready; parts need no slot; the newest is prefilled first. - prompt-choice.ts compares one engine with groups whose first engine keeps the prompt, and with groups that keep their parts where no engine has the memory. Harm to others, own lateness, delay, preferences of one engine for the group. - engine-shortlist.ts: 16 engines are simulated for a prompt, selected from the load as it is recorded. - Forecasts run until all prompts there are prefilled, so that delays of other parts count. - A long prompt waits as long as its fastest placement is on time, whatever the cheapest one is. - Failover plans without the memory of the attempt that it would cancel. - Load updates carry role and readiness; those of earlier versions are accepted.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -136,13 +136,19 @@
     return false;
   }
 
-  #plannerInputs(mayWait: boolean): PlannerInputs {
+  #plannerInputs(options: Pick<PlannerInputs, 'mayWait' | 'replacesAttempt'>): PlannerInputs {
     const { registry, loadTracker, planner: settings, hasPartialLoadView } = this.#context;
-    return { registry: registry(), loadTracker, settings, mayWait, hasPartialLoadView: hasPartialLoadView() };
+    return {
+      registry: registry(),
+      loadTracker,
+      settings,
+      hasPartialLoadView: hasPartialLoadView(),
+      ...options,
+    };
   }
 
   #plan(): PlacementDecision {
-    const inputs = this.#plannerInputs(!this.#context.isDraining());
+    const inputs = this.#plannerInputs({ mayWait: !this.#context.isDraining(), replacesAttempt: false });
     const { service } = this.#request;
     const decision = planJob(this.#job, service, this.#triedServers, inputs, this.#context.clock.now());
     this.#logPlan(decision, inputs.registry);
@@ -167,7 +173,7 @@
     const { loadTracker, clock, broadcast } = this.#context;
     this.#attemptNumber += 1;
     this.#triedServers.add(server.id);
-    const shares = splitJob(this.#job, server, helpers);
+    const shares = splitJob(this.#job, server, helpers, clock.now() + this.#expectedMs);
     recordPlacedShares(this.#context, this.#request.service.engine, shares);
     const reserved = yield* settle(reserveParts(this.#context, this.#reservationOwner(server), helpers));
     if (!('release' in reserved)) {
@@ -346,7 +352,8 @@
     if (!mayRetry(route.repeat, history, route.attempts)) {
       return false;
     }
-    const decision = planJob(this.#job, service, this.#triedServers, this.#plannerInputs(false), clock.now());
+    const inputs = this.#plannerInputs({ mayWait: false, replacesAttempt: true });
+    const decision = planJob(this.#job, service, this.#triedServers, inputs, clock.now());
     const isSoonEnough =
       decision.kind === DecisionKind.Send &&
       decision.expectedMs < Math.min(FAILOVER_TARGET_FACTOR * route.targetMs, this.#timeLeftMs());
--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -1,6 +1,6 @@
 /**
- * Chooses an engine for a prompt by the predicted time to its first token and the predicted pauses of all streams on
- * that engine.
+ * Predicts what a prompt, or a part of one, does to an engine: the time to its first token, and the pauses and first
+ * tokens of all streams on that engine.
  *
  * Handles long prompts that arrive among many short ones: a long prefill lengthens the passes of its engine, so that
  * every stream there pauses for longer than its pause limit.
@@ -12,7 +12,10 @@
   EngineSimulation,
   type EngineState,
   ExpectedEnd,
+  type Generation,
   newRequest,
+  prefillMs,
+  runsRequest,
 } from '@toucanbend/engine-model';
 import { type Job, jobValue } from './job.js';
 
@@ -50,17 +53,17 @@
   readonly hasPartialLoadView: boolean;
 }
 
-/** Predicted effect of sending a job to an engine. */
+/** Predicted effect of sending a job to an engine. Losses and costs are in the unit of `jobValue`. */
 export interface EnginePrediction {
   readonly server: string;
   /** Predicted time from now to the first event, in milliseconds. */
   readonly firstEventMs: number;
-  /** Duration of the longest simulated pass, in milliseconds. */
-  readonly longestPassMs: number;
-  /** Job value that is expected to be lost, of this job and of the jobs on the engine. */
-  readonly cost: number;
-  /** Part of the cost that is not this job's own loss: loss of other jobs, and placement preferences. */
-  readonly externalCost: number;
+  /** Job value that this job is expected to lose by a late first event or a long pause. */
+  readonly ownLoss: number;
+  /** Job value that the other jobs on the engine are expected to lose through this job. */
+  readonly lossOfOthers: number;
+  /** Cost of the placement preferences. */
+  readonly preferenceCost: number;
 }
 
 /** Maximum number of passes that a prediction simulates; enough for the longest prompt that fits into memory. */
@@ -74,11 +77,12 @@
 /** Share of its value that a job loses when it misses its target or its pause limit. */
 export const LATE_LOSS = 0.8;
 /**
- * Cost of a short prompt on an engine that runs no job with a pause limit as strict, as a share of value. It keeps such
- * engines free for the next long prompt.
+ * Cost of a short prompt on an engine that runs no job with a pause limit as strict, as a share of value. It falls to 0 as
+ * such jobs take `PACKED_SHARE` of the slots: they are packed, so that engines stay free for the next long prompts.
  */
 const DISSIMILAR_ENGINE_COST = 0.15;
-/** A prompt counts as short if no simulated pass takes as long as this share of the job's pause limit. */
+const PACKED_SHARE = 0.5;
+/** A prompt counts as short if its prefill takes less than this share of the job's pause limit. */
 const SHORT_PREFILL_SHARE = 0.5;
 /** Cost of a pass as long as the job's pause limit, as a share of value; it spreads equal jobs over equal engines. */
 const FILL_COST = 0.02;
@@ -86,6 +90,8 @@
 const OCCUPANCY_COST = 0.22;
 /** Cost of an affinity penalty of 1, as a share of value, so that simultaneous decisions choose different servers. */
 const AFFINITY_COST = 0.02;
+/** The same for a part that is prefilled for another engine; far below the cost of a delay there. */
+const PART_AFFINITY_COST = 0.001;
 /**
  * Costs that apply instead while load updates of other entries are missing, as shares of value. Jobs go to the engines
  * with the most free slots, and entries choose different engines. Handles the load after a restart of all entries, when
@@ -96,7 +102,14 @@
 /** Cost per millisecond of round trip to another data centre, as a share of value. */
 const DISTANCE_COST_PER_MS = 0.0005;
 
-function latenessRisk(elapsedMs: number, limitMs: number): number {
+/**
+ * Returns the risk that a limit is exceeded.
+ *
+ * @param elapsedMs - predicted time, in milliseconds
+ * @param limitMs - the limit, in milliseconds
+ * @returns a probability from 0 to 1
+ */
+export function latenessRisk(elapsedMs: number, limitMs: number): number {
   const share = elapsedMs / Math.max(1, limitMs);
   return Math.min(1, Math.max(0, (share - RISK_STARTS_AT) / (RISK_ENDS_AT - RISK_STARTS_AT)));
 }
@@ -130,19 +143,25 @@
   /** Time at which the added request has its first token; infinite if that does not happen within the simulation. */
   readonly firstEventAtMs: number;
   readonly longestPassMs: number;
-  /** Number of passes that were simulated. */
-  readonly passes: number;
+  /** End of the last simulated pass. */
+  readonly endsAtMs: number;
+}
+
+/** Returns until when a forecast with an added request runs: it covers all prompts that the request may delay. */
+function isForecastOver(simulation: EngineSimulation, passesAfterStart: number): boolean {
+  return passesAfterStart >= PASSES_AFTER_START && !simulation.hasBacklog;
 }
 
 /**
- * Simulates passes of an engine, with an additional request if one is given, and records the largest loss of each job.
+ * Simulates passes of an engine and records the largest loss of each job: until the prompts there and `added` have had
+ * their first tokens, or up to `untilMs` if no request is added.
  */
 function simulatePasses(
   candidate: EngineCandidate,
   start: EngineState,
   jobs: ReadonlyMap<string, PlacedJob>,
   added: EngineRequest | undefined,
-  passLimit: number,
+  untilMs: number,
 ): SimulationResult {
   const { engine } = candidate;
   const losses = new Map<string, number>();
@@ -152,8 +171,7 @@
   }
   let firstEventAtMs = Number.POSITIVE_INFINITY;
   let longestPassMs = 0;
-  let passes = 0;
-  let passesLeft = passLimit;
+  let passesAfterStart = 0;
   let generatedIds: string[] = [];
   let startedIds: string[] = [];
   const recordLoss = (id: string, loss: number): void => {
@@ -161,15 +179,20 @@
       losses.set(id, Math.max(losses.get(id) ?? 0, loss));
     }
   };
-  while (passesLeft > 0 && simulation.size > 0) {
+  for (
+    let passes = 0;
+    passes < MAX_PASSES &&
+    simulation.size > 0 &&
+    simulation.passStartsAtMs < untilMs &&
+    !isForecastOver(simulation, passesAfterStart);
+    passes += 1
+  ) {
     generatedIds = [];
     startedIds = [];
     const durationMs = simulation.runPass(
       (id) => generatedIds.push(id),
       (id) => startedIds.push(id),
     );
-    passes += 1;
-    passesLeft -= 1;
     longestPassMs = Math.max(longestPassMs, durationMs);
     for (const id of generatedIds) {
       const placed = jobs.get(id);
@@ -182,12 +205,13 @@
         placed === undefined ? 0 : lateStartLoss(placed, simulation.passStartsAtMs + candidate.roundTripMs),
       );
     }
-    if (added !== undefined && startedIds.includes(added.id)) {
+    if (firstEventAtMs < Infinity) {
+      passesAfterStart += 1;
+    } else if (added !== undefined && startedIds.includes(added.id)) {
       firstEventAtMs = simulation.passStartsAtMs;
-      passesLeft = Math.min(passesLeft, PASSES_AFTER_START);
     }
   }
-  return { losses, firstEventAtMs, longestPassMs, passes };
+  return { losses, firstEventAtMs, longestPassMs, endsAtMs: simulation.passStartsAtMs };
 }
 
 function sumLosses(losses: ReadonlyMap<string, number>): number {
@@ -198,83 +222,82 @@
   return sum;
 }
 
-/** Returns whether an engine runs a job whose pause limit is at most that of the given job. */
-function hasSimilarJob(candidate: EngineCandidate, job: Job): boolean {
+/** Counts the jobs that run on an engine and whose pause limit is at most that of the given job. */
+function countSimilarJobs(candidate: EngineCandidate, job: Job): number {
+  let count = 0;
   for (const placed of candidate.jobs.values()) {
-    if (placed.job.targetPauseMs <= job.targetPauseMs) {
-      return true;
-    }
+    const { generation, targetPauseMs } = placed.job;
+    const isSimilar =
+      generation !== undefined && runsRequest(generation) && targetPauseMs <= job.targetPauseMs;
+    count += isSimilar ? 1 : 0;
+  }
+  return count;
+}
+
+/** Share by which an engine has fewer jobs with strict pause limits than an engine that is reserved for them. */
+function dissimilarity(candidate: EngineCandidate, job: Job): number {
+  const packedJobs = Math.max(1, PACKED_SHARE * candidate.engine.slots);
+  return Math.max(0, 1 - countSimilarJobs(candidate, job) / packedJobs);
+}
+
+/** Cost of using an engine in addition to losses, as a share of the job's value. */
+function preferenceShare(
+  candidate: EngineCandidate,
+  job: Job,
+  generation: Generation,
+  longestPassMs: number,
+): number {
+  const fill = Math.min(1, longestPassMs / Math.max(1, job.targetPauseMs));
+  const sharedCost = FILL_COST * fill * fill + DISTANCE_COST_PER_MS * candidate.roundTripMs;
+  if (!runsRequest(generation)) {
+    return sharedCost + PART_AFFINITY_COST * candidate.affinityPenalty;
+  }
+  const running = candidate.state.requests.filter(runsRequest).length;
+  const occupancy = (running + 1) / Math.max(1, candidate.engine.slots);
+  if (candidate.hasPartialLoadView) {
+    return PARTIAL_VIEW_OCCUPANCY_COST * occupancy + PARTIAL_VIEW_AFFINITY_COST * candidate.affinityPenalty;
   }
-  return false;
+  const prefillingMs = prefillMs(candidate.engine, 0, generation.promptTokens);
+  const isShort = generation.part === undefined && prefillingMs < SHORT_PREFILL_SHARE * job.targetPauseMs;
+  return (
+    sharedCost +
+    (isShort ? DISSIMILAR_ENGINE_COST * dissimilarity(candidate, job) : 0) +
+    OCCUPANCY_COST * occupancy ** 4 +
+    AFFINITY_COST * candidate.affinityPenalty
+  );
 }
 
 /**
- * Predicts the time to the first event and the cost of sending a job to an engine.
+ * Predicts the effect of sending a job to an engine.
  *
  * @param candidate - the engine and its current jobs
- * @param job - the job to place
+ * @param job - the job to place, or the engine's share of it
+ * @param generation - the prompt of the job, or the engine's part of it
  * @param nowMs - the current time, in milliseconds
- * @returns the prediction; undefined for a call of a plain service
+ * @returns the prediction
  */
 export function predictPlacement(
   candidate: EngineCandidate,
   job: Job,
+  generation: Generation,
   nowMs: number,
-): EnginePrediction | undefined {
-  if (job.generation === undefined) {
-    return undefined;
-  }
+): EnginePrediction {
   const { engine } = candidate;
   const state = advanceEngine(engine, candidate.state, nowMs);
   const jobs = new Map(candidate.jobs).set(job.id, unplacedJob(job));
-  const withJob = simulatePasses(candidate, state, jobs, newRequest(job.id, job.generation), MAX_PASSES);
+  const withJob = simulatePasses(candidate, state, jobs, newRequest(job.id, generation), Infinity);
   const ownLoss = withJob.losses.get(job.id) ?? 0;
   const lossOfOthers = sumLosses(withJob.losses) - ownLoss;
   // Losses that the other jobs would have without this job are not part of its cost.
   const baselineLoss =
     lossOfOthers > 0
-      ? sumLosses(simulatePasses(candidate, state, candidate.jobs, undefined, withJob.passes).losses)
+      ? sumLosses(simulatePasses(candidate, state, candidate.jobs, undefined, withJob.endsAtMs).losses)
       : 0;
-  const value = jobValue(job);
-  const fill = Math.min(1, withJob.longestPassMs / Math.max(1, job.targetPauseMs));
-  const isShort = withJob.longestPassMs < SHORT_PREFILL_SHARE * job.targetPauseMs;
-  const occupancy = (state.requests.length + 1) / Math.max(1, engine.slots);
-  const preferenceCost = candidate.hasPartialLoadView
-    ? PARTIAL_VIEW_OCCUPANCY_COST * occupancy + PARTIAL_VIEW_AFFINITY_COST * candidate.affinityPenalty
-    : (isShort && !hasSimilarJob(candidate, job) ? DISSIMILAR_ENGINE_COST : 0) +
-      FILL_COST * fill * fill +
-      OCCUPANCY_COST * occupancy ** 4 +
-      AFFINITY_COST * candidate.affinityPenalty +
-      DISTANCE_COST_PER_MS * candidate.roundTripMs;
-  const externalCost = lossOfOthers - baselineLoss + preferenceCost * value;
   return {
     server: candidate.server,
     firstEventMs: withJob.firstEventAtMs + candidate.roundTripMs - nowMs,
-    longestPassMs: withJob.longestPassMs,
-    cost: externalCost + ownLoss,
-    externalCost,
+    ownLoss,
+    lossOfOthers: Math.max(0, lossOfOthers - baselineLoss),
+    preferenceCost: preferenceShare(candidate, job, generation, withJob.longestPassMs) * jobValue(job),
   };
 }
-
-/**
- * Chooses the engine on which the job has the lowest cost.
- *
- * @param candidates - engines to choose from
- * @param job - the job to place
- * @param nowMs - the current time, in milliseconds
- * @returns the prediction for that engine; undefined without candidates or for a call of a plain service
- */
-export function chooseEngine(
-  candidates: readonly EngineCandidate[],
-  job: Job,
-  nowMs: number,
-): EnginePrediction | undefined {
-  let best: EnginePrediction | undefined;
-  for (const candidate of candidates) {
-    const prediction = predictPlacement(candidate, job, nowMs);
-    if (prediction !== undefined && (best === undefined || prediction.cost < best.cost)) {
-      best = prediction;
-    }
-  }
-  return best;
-}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,9 +1,11 @@
 /** Placement of requests: chooses a server, delays a request or rejects it, and limits retries. */
 export * from './call-choice.js';
 export * from './engine-choice.js';
-export * from './group-choice.js';
+export * from './engine-shortlist.js';
+export * from './job-share.js';
 export * from './job.js';
 export * from './load-tracker.js';
 export * from './load-update.js';
 export * from './planner.js';
+export * from './prompt-choice.js';
 export * from './retry-budget.js';
--- a/packages/placement/src/job.ts
+++ b/packages/placement/src/job.ts
@@ -29,12 +29,14 @@
  * less than all the short ones that the same engine time could serve.
  *
  * @param job - the job to value
- * @returns the value without a unit; 1 for a call of a plain service
+ * @returns the value without a unit; 1 for a call of a plain service. One part of a prompt has the value of the whole
+ *   prompt, which is late if the part is
  */
 export function jobValue(job: Job): number {
   if (job.generation === undefined) {
     return 1;
   }
-  const { promptTokens, answerTokens } = job.generation;
-  return Math.sqrt(1 + (promptTokens + ANSWER_TOKEN_WEIGHT * answerTokens) / 1_000);
+  const { promptTokens, answerTokens, part } = job.generation;
+  const wholeTokens = part?.wholeTokens ?? promptTokens;
+  return Math.sqrt(1 + (wholeTokens + ANSWER_TOKEN_WEIGHT * answerTokens) / 1_000);
 }
--- a/packages/placement/src/load-update.ts
+++ b/packages/placement/src/load-update.ts
@@ -2,7 +2,7 @@
  * Load updates, by which entries inform one another about the load of backend servers, and their compact encoding as
  * flat arrays.
  */
-import { type EngineParameters } from '@toucanbend/engine-model';
+import { type EngineParameters, PartRole, type PromptPart } from '@toucanbend/engine-model';
 import { z } from 'zod';
 import { type Job } from './job.js';
 import { type LoadTracker } from './load-tracker.js';
@@ -41,11 +41,17 @@
   milliseconds,
   milliseconds,
   z.number(),
+  z.enum(PartRole).optional(),
+  milliseconds.optional(),
 ]);
 const endedSchema = z.tuple([z.literal(LoadUpdateKind.Ended), z.string(), z.string()]);
 const failedSchema = z.tuple([z.literal(LoadUpdateKind.Failed), z.string()]);
 const updateSchema = z.union([placedSchema, endedSchema, failedSchema]);
 
+function encodePart(part: PromptPart | undefined, nowMs: number): number[] {
+  return part === undefined ? [] : [part.role, Math.round(part.readyAtMs - nowMs)];
+}
+
 /**
  * Encodes a load update as a flat array.
  *
@@ -70,7 +76,8 @@
         job.targetMs,
         job.targetPauseMs,
         Math.round(job.deadlineAtMs - nowMs),
-        job.generation?.wholeTokens ?? -1,
+        job.generation?.part?.wholeTokens ?? -1,
+        ...encodePart(job.generation?.part, nowMs),
       ];
     }
     case LoadUpdateKind.Ended:
@@ -113,14 +120,14 @@
         targetPauseMs,
         timeLeftMs,
         wholeTokens,
+        role = PartRole.LeaderOfHolders,
+        readyInMs = 0,
       ] = fields;
+      const part = wholeTokens < 0 ? undefined : { role, wholeTokens, readyAtMs: nowMs + readyInMs };
       const job: Job = {
         id,
         service,
-        generation:
-          promptTokens < 0
-            ? undefined
-            : { promptTokens, answerTokens, wholeTokens: wholeTokens < 0 ? undefined : wholeTokens },
+        generation: promptTokens < 0 ? undefined : { promptTokens, answerTokens, part },
         rank,
         arrivedAtMs: nowMs - ageMs,
         targetMs,
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -1,5 +1,5 @@
 /** Chooses the server of a request, delays the request or rejects it, based on the registry and the load tracker. */
-import { type EngineParameters, slowEngine } from '@toucanbend/engine-model';
+import { type EngineParameters, type Generation, slowEngine } from '@toucanbend/engine-model';
 import {
   type BackendServer,
   listServers,
@@ -9,10 +9,11 @@
 } from '@toucanbend/registry';
 import murmurhash from 'murmurhash';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
-import { chooseEngine, type EngineCandidate, LATE_LOSS } from './engine-choice.js';
-import { chooseGroup } from './group-choice.js';
+import { type EngineCandidate, LATE_LOSS } from './engine-choice.js';
 import { type Job, jobValue } from './job.js';
-import { isEligible, type LoadTracker } from './load-tracker.js';
+import { type Helper, isShareOf } from './job-share.js';
+import { isEligible, type LoadTracker, type ServerLoad } from './load-tracker.js';
+import { choosePlacement, type PromptChoice, USABLE_MEMORY_SHARE } from './prompt-choice.js';
 
 export enum DecisionKind {
   Send = 'send',
@@ -28,17 +29,6 @@
   BeyondMemory = 'beyond_memory',
 }
 
-/** A server that prefills one part of a prompt for the server that gets the request. */
-export interface Helper {
-  readonly server: BackendServer;
-  readonly partTokens: number;
-  /**
-   * Whether memory is reserved on this server, so that it keeps the KV cache of its part. Without a reservation, the
-   * server that gets the request holds the whole prompt.
-   */
-  readonly keepsPart: boolean;
-}
-
 export type PlacementDecision =
   | {
       readonly kind: DecisionKind.Send;
@@ -77,6 +67,8 @@
   readonly mayWait: boolean;
   /** Whether some other entries place jobs without this entry receiving their load updates. */
   readonly hasPartialLoadView: boolean;
+  /** Whether the job runs already and would be cancelled there; its slots and memory then count as free. */
+  readonly replacesAttempt: boolean;
 }
 
 function roundTripMs(server: BackendServer, settings: PlannerSettings): number {
@@ -137,16 +129,6 @@
 const MIN_RECHECK_INTERVAL_MS = 40;
 const MAX_RECHECK_INTERVAL_MS = 200;
 
-/** The best placement found for a job. */
-interface PlacementEstimate {
-  /** Predicted time from now to the first event, in milliseconds. */
-  readonly firstEventMs: number;
-  /** Job value that is expected to be lost, of this job and of the others. */
-  readonly cost: number;
-  /** Part of the cost that is not this job's own loss: loss of other jobs, and placement preferences. */
-  readonly externalCost: number;
-}
-
 function recheckIntervalMs(job: Job): number {
   return Math.min(
     MAX_RECHECK_INTERVAL_MS,
@@ -163,13 +145,14 @@
  * until the time left is needed to answer before the deadline. A short prompt waits only while it can still meet its
  * target.
  */
-function chooseWaitMs(engine: EngineParameters, job: Job, best: PlacementEstimate, nowMs: number): number {
+function chooseWaitMs(engine: EngineParameters, job: Job, choice: PromptChoice, nowMs: number): number {
+  const { best, fastestMs } = choice;
   const value = jobValue(job);
-  if (best.cost < WAIT_COST_THRESHOLD * value) {
+  if (best.ownLoss + best.externalCost < WAIT_COST_THRESHOLD * value) {
     return 0;
   }
   const intervalMs = recheckIntervalMs(job);
-  const slackMs = job.arrivedAtMs + job.targetMs * (1 - TARGET_MARGIN) - nowMs - best.firstEventMs;
+  const slackMs = job.arrivedAtMs + job.targetMs * (1 - TARGET_MARGIN) - nowMs - fastestMs;
   if (slackMs > 0) {
     return Math.min(slackMs, intervalMs);
   }
@@ -182,9 +165,6 @@
   return Math.min(Math.max(0, latestMs - nowMs), intervalMs);
 }
 
-/** Share of an engine's memory that a prompt and its answer may need; beyond it, several engines share the prompt. */
-const USABLE_MEMORY_SHARE = 0.97;
-
 function exceedsEngineMemory(engine: EngineParameters, job: Job): boolean {
   const tokens = (job.generation?.promptTokens ?? 0) + (job.generation?.answerTokens ?? 0);
   return tokens > USABLE_MEMORY_SHARE * engine.memoryTokens;
@@ -202,83 +182,86 @@
   return (job.generation?.promptTokens ?? 0) <= engines * USABLE_MEMORY_SHARE * engine.memoryTokens;
 }
 
-function planGroup(
-  servers: readonly BackendServer[],
+/** Delays or rejects a prompt for which no engine has free memory. */
+function planWithoutMemory(
+  engines: number,
   engine: EngineParameters,
-  candidates: readonly EngineCandidate[],
   job: Job,
   mayWait: boolean,
   nowMs: number,
 ): PlacementDecision {
-  const group = chooseGroup(candidates, job, nowMs);
-  const server = servers.find((candidate) => candidate.id === group?.first);
-  if (group === undefined || server === undefined) {
-    const timeLeftMs =
-      mayWait && fitsInCombinedMemory(servers.length, engine, job) ? memoryWaitEndsAtMs(job) - nowMs : 0;
-    return timeLeftMs > 0
-      ? { kind: DecisionKind.Wait, waitMs: Math.min(timeLeftMs, recheckIntervalMs(job)), cost: jobValue(job) }
-      : reject(RejectionReason.BeyondMemory, NO_SERVER_RETRY_MS);
-  }
-  const { partTokens, firstEventMs: expectedMs, cost } = group;
-  const waitMs = mayWait ? chooseWaitMs(engine, job, group, nowMs) : 0;
-  if (waitMs > 0) {
-    return { kind: DecisionKind.Wait, waitMs, cost };
+  if (engines === 0) {
+    return reject(RejectionReason.NoServer, NO_SERVER_RETRY_MS);
   }
-  const helpers = group.helpers.flatMap((id) => {
-    const helper = servers.find((candidate) => candidate.id === id);
-    return helper === undefined ? [] : [{ server: helper, partTokens, keepsPart: true }];
-  });
-  return { kind: DecisionKind.Send, server, helpers, expectedMs, cost };
+  const timeLeftMs =
+    mayWait && fitsInCombinedMemory(engines, engine, job) ? memoryWaitEndsAtMs(job) - nowMs : 0;
+  return timeLeftMs > 0
+    ? { kind: DecisionKind.Wait, waitMs: Math.min(timeLeftMs, recheckIntervalMs(job)), cost: jobValue(job) }
+    : reject(RejectionReason.BeyondMemory, NO_SERVER_RETRY_MS);
 }
 
-function planSingle(
-  servers: readonly BackendServer[],
-  engine: EngineParameters,
-  candidates: readonly EngineCandidate[],
-  job: Job,
-  mayWait: boolean,
-  nowMs: number,
-): PlacementDecision {
-  const best = chooseEngine(candidates, job, nowMs);
-  const server = servers.find((candidate) => candidate.id === best?.server);
-  if (best === undefined || server === undefined) {
-    return reject(RejectionReason.NoServer, NO_SERVER_RETRY_MS);
-  }
-  if (nowMs + best.firstEventMs > job.deadlineAtMs) {
-    return reject(RejectionReason.TooLate, best.firstEventMs);
-  }
-  const waitMs = mayWait ? chooseWaitMs(engine, job, best, nowMs) : 0;
-  return waitMs > 0
-    ? { kind: DecisionKind.Wait, waitMs, cost: best.cost }
-    : { kind: DecisionKind.Send, server, helpers: [], expectedMs: best.firstEventMs, cost: best.cost };
+/** Returns the load of an engine without a job and its shares. */
+function withoutShares(load: ServerLoad, jobId: string): ServerLoad {
+  const isOther = (id: string): boolean => !isShareOf(id, jobId);
+  const { engineState } = load;
+  return {
+    ...load,
+    jobs: new Map([...load.jobs].filter(([id]) => isOther(id))),
+    engineState: { ...engineState, requests: engineState.requests.filter(({ id }) => isOther(id)) },
+  };
 }
 
 function planGeneration(
   servers: readonly BackendServer[],
-  service: Service,
+  engine: EngineParameters,
+  generation: Generation,
   job: Job,
   inputs: PlannerInputs,
   nowMs: number,
 ): PlacementDecision {
-  const { engine } = service;
-  if (engine === undefined) {
-    return planCall(servers, job, inputs, nowMs);
-  }
-  const candidates = servers.map((server): EngineCandidate => {
-    const load = inputs.loadTracker.loadAt(server.id, engine, nowMs);
+  const { loadTracker, settings, hasPartialLoadView, mayWait, replacesAttempt } = inputs;
+  const byId = new Map(servers.map((server) => [server.id, server]));
+  const view = (server: BackendServer, recorded: ServerLoad): EngineCandidate => {
+    const load = replacesAttempt ? withoutShares(recorded, job.id) : recorded;
     return {
       server: server.id,
       engine: slowEngine(engine, load.slowdown),
       state: load.engineState,
       jobs: load.jobs,
-      affinityPenalty: affinityPenalty(inputs.settings.entry, server.id),
-      hasPartialLoadView: inputs.hasPartialLoadView,
-      roundTripMs: roundTripMs(server, inputs.settings),
+      affinityPenalty: affinityPenalty(settings.entry, server.id),
+      hasPartialLoadView,
+      roundTripMs: roundTripMs(server, settings),
     };
+  };
+  const candidates = {
+    engine,
+    engines: servers.map((server) => view(server, loadTracker.load(server.id))),
+    fitsOneEngine: !exceedsEngineMemory(engine, job),
+    advance: (candidate: EngineCandidate): EngineCandidate => {
+      const load = loadTracker.loadAt(candidate.server, engine, nowMs);
+      const { engineState } = replacesAttempt ? withoutShares(load, job.id) : load;
+      return { ...candidate, state: engineState };
+    },
+  };
+  const choice = choosePlacement(candidates, job, generation, nowMs);
+  const server = byId.get(choice?.best.leader ?? '');
+  if (choice === undefined || server === undefined) {
+    return planWithoutMemory(servers.length, engine, job, mayWait, nowMs);
+  }
+  const { best } = choice;
+  const { partTokens, keepsParts, firstEventMs: expectedMs, cost } = best;
+  if (nowMs + expectedMs > job.deadlineAtMs) {
+    return reject(RejectionReason.TooLate, expectedMs);
+  }
+  const waitMs = mayWait ? chooseWaitMs(engine, job, choice, nowMs) : 0;
+  if (waitMs > 0) {
+    return { kind: DecisionKind.Wait, waitMs, cost };
+  }
+  const helpers = best.helpers.flatMap((id) => {
+    const helper = byId.get(id);
+    return helper === undefined ? [] : [{ server: helper, partTokens, keepsPart: keepsParts }];
   });
-  return exceedsEngineMemory(engine, job)
-    ? planGroup(servers, engine, candidates, job, inputs.mayWait, nowMs)
-    : planSingle(servers, engine, candidates, job, inputs.mayWait, nowMs);
+  return { kind: DecisionKind.Send, server, helpers, expectedMs, cost };
 }
 
 /**
@@ -306,7 +289,7 @@
   );
   const eligible = serving.filter((server) => isEligible(inputs.loadTracker.load(server.id), nowMs));
   const servers = eligible.length > 0 ? eligible : serving;
-  return job.generation === undefined
+  return job.generation === undefined || service.engine === undefined
     ? planCall(servers, job, inputs, nowMs)
-    : planGeneration(servers, service, job, inputs, nowMs);
+    : planGeneration(servers, service.engine, job.generation, job, inputs, nowMs);
 }
