--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -1,7 +1,13 @@
 /** Relays the answer of one attempt to the caller: buffered until it is complete, or event by event for a stream. */
 import { Outcome } from '@toucanbend/core';
 import { type BackendServer } from '@toucanbend/registry';
-import { type AnswerStart, type AttemptEvent, AttemptEventType, AttemptFailure } from './attempt.js';
+import {
+  type AnswerStart,
+  type AttemptEvent,
+  AttemptEventType,
+  AttemptFailure,
+  type AttemptFault,
+} from './attempt.js';
 import { type CallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
 import { type ForwardingContext } from './context.js';
 import { createEventSplitter, type StreamEvent } from './event-splitter.js';
@@ -21,9 +27,7 @@
 }
 
 /** The result of an attempt: the end of the request, or a failure after which it may be retried. */
-export type AttemptResult =
-  | { readonly failure: undefined; readonly end: RequestEnd }
-  | { readonly failure: AttemptFailure; readonly detail: string };
+export type AttemptResult = { readonly failure: undefined; readonly end: RequestEnd } | AttemptFault;
 
 const answered: AttemptResult = {
   failure: undefined,
@@ -88,7 +92,7 @@
       case AttemptEventType.Body:
         return this.#collect(event.chunk);
       case AttemptEventType.Failed:
-        return { failure: event.failure, detail: event.detail };
+        return event;
       case AttemptEventType.Ended:
         return this.#finish(mayRepeat);
     }
@@ -168,7 +172,7 @@
           ? { failure: AttemptFailure.InDoubt, detail: 'event too long' }
           : undefined;
       case AttemptEventType.Failed:
-        return { failure: event.failure, detail: event.detail };
+        return event;
       case AttemptEventType.Ended:
         return this.#finish();
     }
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -27,12 +27,20 @@
   readonly isFramed: boolean;
 }
 
+/** Why an attempt failed. */
+export interface AttemptFault {
+  readonly failure: AttemptFailure;
+  readonly detail: string;
+  /** Address of the server at fault, if the answer names one. */
+  readonly faultyAddress?: string | undefined;
+}
+
 /** The events of an attempt, reported in the order in which they occur. */
 export type AttemptEvent =
   | { readonly type: AttemptEventType.Started; readonly start: AnswerStart }
   | { readonly type: AttemptEventType.Body; readonly chunk: Buffer }
   | { readonly type: AttemptEventType.Ended }
-  | { readonly type: AttemptEventType.Failed; readonly failure: AttemptFailure; readonly detail: string };
+  | ({ readonly type: AttemptEventType.Failed } & AttemptFault);
 
 /** The kinds of {@link AttemptEvent}. */
 export enum AttemptEventType {
@@ -110,8 +118,8 @@
     }
   }
 
-  fail(failure: AttemptFailure, detail: string): void {
-    this.report({ type: AttemptEventType.Failed, failure, detail });
+  fail(failure: AttemptFailure, detail: string, faultyAddress?: string): void {
+    this.report({ type: AttemptEventType.Failed, failure, detail, faultyAddress });
   }
 
   failInterrupted(detail: string): void {
@@ -159,7 +167,7 @@
     reporter.failInterrupted(`answer interrupted: ${error.message}`);
   });
   if (start.isNotRun) {
-    reporter.fail(AttemptFailure.NotRun, `status ${String(start.status)}`);
+    reporter.fail(AttemptFailure.NotRun, `status ${String(start.status)}`, start.faultyAddress);
     message.resume();
     return;
   }
--- a/packages/forwarding/src/dialect.ts
+++ b/packages/forwarding/src/dialect.ts
@@ -50,6 +50,8 @@
   readonly isSigned: boolean;
   /** Whether the server reports that it did not run the request and never will. */
   readonly isNotRun: boolean;
+  /** Address (`host:port`) of the server because of which the request was not run; undefined if the answer names none. */
+  readonly faultyAddress: string | undefined;
 }
 
 /** Header names and values in the order of transmission: names at even indices, values at odd ones. */
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -6,7 +6,6 @@
   DecisionKind,
   type Helper,
   type Job,
-  LoadUpdateKind,
   planJob,
   type PlacementDecision,
   type PlannerInputs,
@@ -34,6 +33,7 @@
 import { type ForwardingContext } from './context.js';
 import { dispatchAttempt } from './dispatch.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
+import { recordFailedServer } from './failed-server.js';
 import { ReleaseCause, type ReservationOwner } from './part-reservation.js';
 import { type MemoryError } from './memory.js';
 import { emptyHistory, mayRetry, outcomeOf, recordFailedAttempt } from './attempt-history.js';
@@ -170,7 +170,7 @@
 
   /** Makes one attempt. Returns undefined if it failed; `run` then decides whether to retry. */
   *#attempt(server: BackendServer, helpers: readonly Helper[]): ProcessBody<RequestEnd | undefined> {
-    const { loadTracker, clock, broadcast } = this.#context;
+    const { loadTracker, clock } = this.#context;
     this.#attemptNumber += 1;
     this.#triedServers.add(server.id);
     const shares = splitJob(this.#job, server, helpers, clock.now() + this.#expectedMs);
@@ -200,12 +200,12 @@
     }
     this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, result.failure);
     this.#context.metrics.countFailure(result.failure);
-    if (result.failure !== AttemptFailure.NotRun) {
-      loadTracker.failed(server.id, clock.now());
-      broadcast({ kind: LoadUpdateKind.Failed, server: server.id });
-    }
+    const failed = recordFailedServer(this.#context, server, helpers, result);
+    this.#triedServers.delete(server.id);
+    this.#triedServers.add(failed.id);
     this.#log(LogDecision.Retry, {
       server: server.id,
+      failed: failed.id,
       failure: result.failure,
       detail: result.detail,
       attempt: this.#attemptNumber,
--- a/packages/forwarding/test/shared-prompt.test.ts
+++ b/packages/forwarding/test/shared-prompt.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 import { DecisionKind } from '@toucanbend/observability';
+import { LoadUpdateKind } from '@toucanbend/placement';
 import { type Catalogue } from '@toucanbend/registry';
 import { smallEngine } from '../../../fakes/engine-parameters.js';
 import { TestEngines } from './support/engines.js';
@@ -73,3 +74,39 @@
     },
   );
 });
+
+describe('a prompt whose server rejects it because of a helper', () => {
+  it('is sent again without the helper, which the other entries are told about', async () => {
+    const helpersOf = (headers: ReadonlyMap<string, string>): string[] =>
+      (headers.get('helpers') ?? '').split(',').filter((address) => address !== '');
+    const faulty = new Set<string>();
+    const script: Script = (socket, request) => {
+      const [helper = ''] = helpersOf(request.headers);
+      if (faulty.size === 0) {
+        faulty.add(helper);
+        const headers = ['not-run: 1', `at-fault: ${helper}`, 'connection: close'];
+        socket.end(answerTo(request, '', { status: 503, headers }));
+      } else {
+        succeeds(socket, request);
+      }
+    };
+    const servers = await Promise.all(
+      Array.from({ length: 2 * ENGINE_COUNT }, () => startScriptedServer(script)),
+    );
+    const gateway = await startTestGateway(
+      servers.map((server) => server.port),
+      { initialCatalogue: engines },
+    );
+    open.push(gateway, ...servers);
+    const headers = { 'prompt-tokens': String(0.9 * smallEngine.memoryTokens), timeout: String(DEADLINE_MS) };
+    const answer = await callAs({ port: gateway.port, path: paths.stream, headers }).result;
+    assert.equal(answer.status, 200);
+    const received = servers.flatMap((server) => server.received);
+    assert.equal(received.length, 2);
+    const repeated = received.filter((request) => !helpersOf(request.headers).some((id) => faulty.has(id)));
+    assert.equal(repeated.length, 1);
+    assert.equal(gateway.updates.filter((update) => update.kind === LoadUpdateKind.Failed).length, 1);
+    const retry = gateway.decisions.find((line) => line.decision === DecisionKind.Retry);
+    assert.notEqual(retry?.fields.failed, retry?.fields.server);
+  });
+});
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -9,7 +9,7 @@
   type ForwardingContext,
 } from '@toucanbend/forwarding';
 import { type DecisionLine, type Logger } from '@toucanbend/observability';
-import { createLoadTracker, createRetryBudget } from '@toucanbend/placement';
+import { createLoadTracker, createRetryBudget, type LoadUpdate } from '@toucanbend/placement';
 import {
   AnswerForm,
   type Catalogue,
@@ -62,12 +62,16 @@
     if (attempt.lastEventId !== undefined) {
       written.push('last-event-id', String(attempt.lastEventId));
     }
+    if (attempt.helpers.length > 0) {
+      written.push('helpers', attempt.helpers.map(({ host, port }) => `${host}:${String(port)}`).join(','));
+    }
     return written;
   },
   readAnswer: (_status, headers) => ({
     requestId: headers['request-id'] === undefined ? undefined : String(headers['request-id']),
     isSigned: headers.signature !== undefined,
     isNotRun: headers['not-run'] !== undefined,
+    faultyAddress: headers['at-fault'] === undefined ? undefined : String(headers['at-fault']),
   }),
 };
 
@@ -126,6 +130,8 @@
 export interface TestGateway {
   readonly port: number;
   readonly decisions: DecisionLine[];
+  /** The load updates that the other entries would receive. */
+  readonly updates: readonly LoadUpdate[];
   readonly callerPort: CallerPort;
   startDraining(): void;
   stopAccepting(): void;
@@ -180,6 +186,7 @@
     memory = noMemory,
   } = options;
   const decisions: DecisionLine[] = [];
+  const updates: LoadUpdate[] = [];
   let isLeaving = false;
   let takesRequests = true;
   const records: RegistryRecord[] = ports.map((port, index) => serverRecord(`s${String(index)}`, port));
@@ -208,13 +215,14 @@
     isDraining: () => isLeaving,
     acceptsRequests: () => takesRequests,
     hasPartialLoadView: () => false,
-    broadcast: () => undefined,
+    broadcast: (update) => updates.push(update),
   };
   const callerPort = createCallerPort(context);
   const port = await callerPort.listen('127.0.0.1', 0);
   return {
     port,
     decisions,
+    updates,
     callerPort,
     stopAccepting: () => {
       takesRequests = false;
