--- a/packages/placement/src/engine-shortlist.ts
+++ b/packages/placement/src/engine-shortlist.ts
@@ -5,7 +5,7 @@
  * host has. The estimate reads the recorded load as it is, without advancing the model of the engine.
  */
 import { type EngineParameters, type Generation, prefillNextMs, runsRequest } from '@toucanbend/engine-model';
-import { latenessRisk } from './engine-choice.js';
+import { type EngineCandidate, latenessRisk } from './engine-choice.js';
 import { type Job, jobValue } from './job.js';
 import { type ServerLoad } from './load-tracker.js';
 import { type ReadyServer } from './ready-servers.js';
@@ -21,6 +21,17 @@
   readonly load: ServerLoad;
 }
 
+/** The candidates of a decision, and how to bring the recorded load of some of them up to date. */
+export interface PromptCandidates {
+  readonly engine: EngineParameters;
+  /** All engines, with their load as it was recorded last. */
+  readonly engines: readonly RecordedEngine[];
+  /** Whether the prompt and its answer fit into the memory of one engine. */
+  readonly fitsOneEngine: boolean;
+  /** Advances the load of an engine to the current time. */
+  readonly advance: (engine: RecordedEngine) => EngineCandidate;
+}
+
 /** A prompt, or one engine's part of it, for which engines are compared. */
 interface EstimateInputs {
   readonly engine: EngineParameters;
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -3,16 +3,12 @@
 import { type BackendServer, type Registry, type Service } from '@toucanbend/registry';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
 import { LATE_LOSS } from './engine-choice.js';
-import { type RecordedEngine } from './engine-shortlist.js';
+import { USABLE_MEMORY_SHARE } from './engine-group.js';
+import { type PromptCandidates, type RecordedEngine } from './engine-shortlist.js';
 import { type Job, jobValue } from './job.js';
 import { type Helper, isShareOf } from './job-share.js';
 import { isEligible, type LoadTracker, type ServerLoad } from './load-tracker.js';
-import {
-  choosePlacement,
-  type PromptCandidates,
-  type PromptChoice,
-  USABLE_MEMORY_SHARE,
-} from './prompt-choice.js';
+import { choosePlacement, type PromptChoice } from './prompt-choice.js';
 import { type PlannerSettings, type ReadyServer, readyServers } from './ready-servers.js';
 
 export enum DecisionKind {
--- a/packages/placement/test/shared-prefill.test.ts
+++ b/packages/placement/test/shared-prefill.test.ts
@@ -71,18 +71,23 @@
     assert.ok(decision.expectedMs < 1_000, `${String(decision.expectedMs)} ms`);
   });
 
-  it('does not lengthen the pauses of short streams while other engines are free', () => {
-    const tracker = createLoadTracker();
-    const ids = engineIds(10);
-    recordShortStreams(tracker, ids.slice(0, 4));
-    const decision = plan(tracker, registryOf(...ids), archiveJob('archive', 180_000, 300), 300);
-    assert.ok(decision.kind === DecisionKind.Send && decision.helpers.length > 0);
-    const used = [decision.server, ...decision.helpers.map((helper) => helper.server)].map(({ id }) => id);
-    assert.deepEqual(
-      used.filter((id) => ids.slice(0, 4).includes(id)),
-      [],
-    );
-  });
+  for (const [busy, free] of [
+    [4, 6],
+    [12, 3],
+  ] as const) {
+    it(`does not lengthen the pauses of short streams on ${String(busy)} engines while ${String(free)} are free`, () => {
+      const tracker = createLoadTracker();
+      const ids = engineIds(busy + free);
+      recordShortStreams(tracker, ids.slice(0, busy));
+      const decision = plan(tracker, registryOf(...ids), archiveJob('archive', 180_000, 300), 300);
+      assert.ok(decision.kind === DecisionKind.Send && decision.helpers.length > 0);
+      const used = [decision.server, ...decision.helpers.map((helper) => helper.server)].map(({ id }) => id);
+      assert.deepEqual(
+        used.filter((id) => ids.slice(0, busy).includes(id)),
+        [],
+      );
+    });
+  }
 
   it('is sent to one engine if it is short', () => {
     const decision = plan(createLoadTracker(), registryOf(...engineIds(12)), shortJob('short'));
