placement: a start beyond the deadline is compared only if there is no other

Cause: the loss of a late start ends at the job's value, so that a start after the deadline cost no more than a late one. Change: placements that miss the deadline take part only if all of them do. Result: the new test is red before (refused) and green after; tests of placement pass.

--- a/packages/placement/src/prompt-choice.ts
+++ b/packages/placement/src/prompt-choice.ts
@@ -48,7 +48,7 @@
 
 /** The result of a comparison. */
 export interface PromptChoice {
-  /** The placement with the lowest cost. */
+  /** The placement with the lowest cost; one that misses the deadline only if all do. */
   readonly best: PromptPlacement;
   /** Shortest predicted time to the first event over all placements, whatever their cost, in milliseconds. */
   readonly fastestMs: number;
@@ -92,7 +92,8 @@
     (fitsOneEngine ? predictGroup(inputs, size, false) : undefined) ?? predictGroup(inputs, size, true);
   const groups = isLong ? GROUP_SIZES.map(predict) : [];
   const placements = [...singles, ...groups].filter((placement) => placement !== undefined);
-  const best = cheapest(placements);
+  const inTime = placements.filter((placement) => nowMs + placement.firstEventMs <= job.deadlineAtMs);
+  const best = cheapest(inTime.length > 0 ? inTime : placements);
   return best === undefined
     ? undefined
     : { best, fastestMs: Math.min(...placements.map((placement) => placement.firstEventMs)) };
--- a/packages/placement/test/shared-prefill.test.ts
+++ b/packages/placement/test/shared-prefill.test.ts
@@ -54,10 +54,10 @@
 }
 
 /** Records short streams on the first engines. */
-function recordShortStreams(tracker: LoadTracker, engines: readonly string[]): void {
+function recordShortStreams(tracker: LoadTracker, engines: readonly string[], atMs = 0): void {
   for (const id of engines) {
     for (let index = 0; index < SHORT_STREAMS; index += 1) {
-      recordJob(tracker, id, shortJob(`${id}-short-${String(index)}`));
+      recordJob(tracker, id, shortJob(`${id}-short-${String(index)}`, atMs), atMs);
     }
   }
 }
@@ -89,6 +89,17 @@
     });
   }
 
+  it('is served in time for its deadline even if a placement beyond it costs the others less', () => {
+    const tracker = createLoadTracker();
+    const ids = engineIds(4);
+    const nowMs = 13_000;
+    recordShortStreams(tracker, ids, nowMs - 300);
+    const job = archiveJob('archive', 190_000);
+    const decision = plan(tracker, registryOf(...ids), job, nowMs);
+    assert.ok(decision.kind === DecisionKind.Send, decision.kind);
+    assert.ok(nowMs + decision.expectedMs <= job.deadlineAtMs);
+  });
+
   it('is sent to one engine if it is short', () => {
     const decision = plan(createLoadTracker(), registryOf(...engineIds(12)), shortJob('short'));
     assert.ok(decision.kind === DecisionKind.Send && decision.helpers.length === 0);
