placement: two comments and a blank line

Cause: reading the diff once more; a comment told "until when" of a function that returns whether. Change: comments only. Result: types, format and lint of the package pass.

--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -147,7 +147,7 @@
   readonly endsAtMs: number;
 }
 
-/** Returns until when a forecast with an added request runs: it covers all prompts that the request may delay. */
+/** Returns whether a forecast has covered the added request and all prompts that it may delay. */
 function isForecastOver(simulation: EngineSimulation, passesAfterStart: number): boolean {
   return passesAfterStart >= PASSES_AFTER_START && !simulation.hasBacklog;
 }
--- a/packages/placement/src/engine-group.ts
+++ b/packages/placement/src/engine-group.ts
@@ -17,7 +17,7 @@
 
 /** Group sizes that are compared; engines accept 16 helpers at most. */
 export const GROUP_SIZES: readonly number[] = [2, 3, 4, 6, 8, 12, 16];
-/** Group size by whose parts engines are compared. */
+/** Group size whose parts are simulated to rank the engines. */
 const RANKING_SIZE = 6;
 /** Number of engines that are simulated as leader of a group. */
 const LEADER_SHORTLIST_SIZE = 2;
@@ -27,6 +27,7 @@
 const HELPER_COST = 0.001;
 /** Cost per helper that keeps its part, as a share of value: memory orders, and its part is needed to the end. */
 const HOLDER_COST = 0.01;
+
 /** Returns whether an engine has free memory for this many tokens beside the requests it has. */
 function hasFreeMemory(candidate: EngineCandidate, tokens: number, nowMs: number): boolean {
   const state = advanceEngine(candidate.engine, candidate.state, nowMs);
