--- a/packages/placement/src/prompt-choice.ts
+++ b/packages/placement/src/prompt-choice.ts
@@ -2,7 +2,7 @@
  * Compares all ways to serve a prompt: one engine, or several that prefill it together.
  *
  * Handles the longest prompts: one that does not fit into the memory of an engine can never be served by a single
- * engine, one whose prefill takes most of its target time is late on any engine that has other work, and one that is
+ * engine, one whose prefill takes most of its target time is late on any engine that has other work, and one
  * prefilled by a single engine delays everything else there. In parts, it fits into ordinary passes of many engines.
  */
 import { type EngineParameters, type Generation, prefillMs } from '@toucanbend/engine-model';
--- a/packages/placement/src/ready-servers.ts
+++ b/packages/placement/src/ready-servers.ts
@@ -1,4 +1,4 @@
-/** The servers of a service that may be chosen, with what is fixed about them while the registry does not change. */
+/** The ready servers of a service, with the properties that stay the same as long as the registry does. */
 import { type BackendServer, listServers, type Registry, ServerState } from '@toucanbend/registry';
 import murmurhash from 'murmurhash';
 
--- a/packages/placement/test/support/jobs.ts
+++ b/packages/placement/test/support/jobs.ts
@@ -119,7 +119,7 @@
  * @param nowMs - the current time, in milliseconds
  * @param service - service of the job
  * @param excluded - ids of servers that must not be chosen
- * @param options - inputs that differ from those of an entry that serves and hears of all load
+ * @param options - inputs that differ from those of a serving entry with a complete load view
  * @returns the decision
  */
 export function plan(
