forwarding: a request whose caller has left while it waited to be read reaches no server

An admitted request now waits until the event loop has polled its connections once more, and ends if its caller's input has ended. The end of the input cancels a running attempt at once instead of when the response closes, some turns of the event loop later. The time that this poll takes is logged with the first decision as inputDelayMs.

departed-caller.test failed before: the server received the request of the departed caller.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -13,6 +13,7 @@
 import { forwardRequest, type ForwardResult } from './forward.js';
 import { answerLogFields } from './log-fields.js';
 import { endToEndHeaders } from './headers.js';
+import { readPendingInput } from './pending-input.js';
 
 /** The HTTP server for callers. */
 export interface CallerPort {
@@ -174,6 +175,11 @@
       return;
     }
     await this.#context.waitForConfiguration(CONFIGURATION_WAIT_MS);
+    const inputDelayMs = await readPendingInput(this.#context.clock);
+    if (message.socket.readableEnded || response.destroyed) {
+      this.#reject(head, answer, EndReason.CallerGone);
+      return;
+    }
     if (!this.#context.acceptsRequests()) {
       this.#reject(head, answer, EndReason.Leaving);
       return;
@@ -192,7 +198,7 @@
     }
     const { route } = admission;
     const timeoutMs = Math.min(route.timeoutMs, head.callerTimeoutMs ?? route.timeoutMs);
-    this.#start(response, answer, {
+    this.#start(message, response, answer, {
       ...admission,
       head,
       method: message.method ?? 'GET',
@@ -200,24 +206,29 @@
       headers: endToEndHeaders(message.rawHeaders, message.headers),
       body,
       receivedAtMs,
+      inputDelayMs,
       deadlineAtMs: receivedAtMs + timeoutMs,
     });
   }
 
-  #start(response: ServerResponse, answer: CallerAnswer, request: CallerRequest): void {
+  #start(
+    message: IncomingMessage,
+    response: ServerResponse,
+    answer: CallerAnswer,
+    request: CallerRequest,
+  ): void {
     const inbox = createForwardInbox();
-    if (response.destroyed) {
-      this.#record(request.head, request.rank, {
-        outcome: Outcome.NotRun,
-        reason: EndReason.CallerGone,
-        retryAfterMs: 0,
-      });
-      return;
-    }
-    response.once('close', () => {
+    const { socket } = message;
+    const sendCallerGone = (): void => {
       if (!response.writableFinished) {
         inbox.send({ type: ForwardMessageType.CallerGone });
       }
+    };
+    // The response closes only some turns of the event loop after the end of the caller's input.
+    socket.once('end', sendCallerGone);
+    response.once('close', () => {
+      socket.off('end', sendCallerGone);
+      sendCallerGone();
     });
     const serve = forwardRequest.bind(undefined, this.#context, request, answer, inbox);
     const record = (result: ForwardResult): void => {
--- a/packages/forwarding/src/caller-request.ts
+++ b/packages/forwarding/src/caller-request.ts
@@ -16,6 +16,8 @@
   readonly account: string | undefined;
   readonly rank: number;
   readonly receivedAtMs: number;
+  /** Delay with which this process handled its input when the request was read, in milliseconds. */
+  readonly inputDelayMs: number;
   /** When the caller's or the route's timeout expires, whichever is earlier. */
   readonly deadlineAtMs: number;
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -163,6 +163,7 @@
       this.#log(LogDecision.Route, {
         ...decisionLogFields(decision, this.#context.loadTracker),
         waitedMs: Math.round(this.#context.clock.now() - this.#request.receivedAtMs),
+        inputDelayMs: Math.round(this.#request.inputDelayMs),
         serversRevision: registry.revisions[RecordKind.Server],
       });
     }
