forwarding: an entry that is behind with its input rejects requests that it cannot serve in time

The entry accepted everything, so that all of its requests waited in receive buffers. The cause is the same as that of work for departed callers: the entry did not know how late it is.

The time that one poll of all connections takes, which is already awaited, is the delay of the entry's input. If it exceeds a quarter of the route's target, the request is rejected as not run, with a short Retry-After: a retry reaches another entry.

overload.test failed before (200 in place of 503).

--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -20,6 +20,8 @@
   CallerGone = 'caller_gone',
   StreamBroken = 'stream_broken',
   Leaving = 'leaving',
+  /** This process is too far behind with its input to serve the request in time. */
+  Overloaded = 'overloaded',
   /** An unexpected exception while this process handled the request. */
   InternalFault = 'internal_fault',
 }
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -13,6 +13,7 @@
 import { forwardRequest, type ForwardResult } from './forward.js';
 import { answerLogFields } from './log-fields.js';
 import { endToEndHeaders } from './headers.js';
+import { isOverloaded } from './overload.js';
 import { readPendingInput } from './pending-input.js';
 
 /** The HTTP server for callers. */
@@ -51,9 +52,13 @@
 /** Retry delay given by a draining entry, in milliseconds; the caller retries at another entry. */
 const LEAVING_RETRY_MS = 20;
 
+/** Retry delay given by an overloaded entry, in milliseconds; the caller retries at another entry. */
+const OVERLOADED_RETRY_MS = 20;
+
 const rejectionRetryAfterMs: Partial<Record<EndReason, number>> = {
   [EndReason.NoConfiguration]: NO_CONFIGURATION_RETRY_MS,
   [EndReason.Leaving]: LEAVING_RETRY_MS,
+  [EndReason.Overloaded]: OVERLOADED_RETRY_MS,
 };
 
 /** The route, service and rank of an admitted request, or the reason why it is rejected. */
@@ -197,6 +202,10 @@
       return;
     }
     const { route } = admission;
+    if (isOverloaded(inputDelayMs, route.targetMs)) {
+      this.#reject(head, answer, EndReason.Overloaded, { inputDelayMs: Math.round(inputDelayMs) });
+      return;
+    }
     const timeoutMs = Math.min(route.timeoutMs, head.callerTimeoutMs ?? route.timeoutMs);
     this.#start(message, response, answer, {
       ...admission,
@@ -256,10 +265,15 @@
     this.#record(request.head, request.rank, end);
   }
 
-  #reject(head: CallerHead, answer: CallerAnswer, reason: EndReason): void {
+  #reject(
+    head: CallerHead,
+    answer: CallerAnswer,
+    reason: EndReason,
+    details: Record<string, number> = {},
+  ): void {
     const end = { outcome: Outcome.NotRun, reason, retryAfterMs: rejectionRetryAfterMs[reason] ?? 0 };
     answer.fail(end);
-    this.#record(head, -1, end);
+    this.#record(head, -1, end, details);
   }
 
   #record(
