forwarding: an answer without a length is not complete if its connection was reset

Callers could receive an answer that broke off as a complete success: libuv reports a reset that arrives together with data as the end of the stream (uv__stream_io short-circuits on POLLHUP after a partial read), and the end of the connection completes an answer with neither a length nor chunks. An entry that reads late sees data and reset together.

At the end of the stream the connection is asked for its peer, which a connection that was reset no longer has. Such an answer counts as interrupted: it is requested from another server, a stream goes on there, or the caller gets 502. A stream without a length that ends before its first event counts as interrupted as well.

--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -211,6 +211,9 @@
     if (this.#splitter.pendingBytes() > 0) {
       return { failure: AttemptFailure.InDoubt, detail: 'stream ended in the middle of an event' };
     }
+    if (this.eventCount === 0 && this.#start?.isFramed === false) {
+      return { failure: AttemptFailure.InDoubt, detail: 'stream ended before its first event' };
+    }
     this.#begin();
     this.#answer.end();
     return answered;
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -102,6 +102,8 @@
   #isFinished = false;
   isSent = false;
   hasHead = false;
+  /** Whether the server reset the connection. */
+  isReset = false;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
@@ -180,7 +182,7 @@
   message.on('data', body.add);
   message.on('end', () => {
     body.flush();
-    if (message.complete) {
+    if (message.complete && !reporter.isReset) {
       reporter.report({ type: AttemptEventType.Ended });
     }
   });
@@ -231,6 +233,11 @@
   outgoing.on('socket', (socket) => {
     socket.setNoDelay(true);
     limitHeadSize(reporter, outgoing, socket);
+    // libuv reports a reset that arrives together with data as the end of the stream, which completes an answer without
+    // a length. Only a connection that was not reset still has a peer at that time.
+    socket.prependOnceListener('end', () => {
+      reporter.isReset = socket.remoteAddress === undefined;
+    });
     socket.once('connect', () => {
       cancelTimer();
       reporter.isSent = true;
