Quarantine of parts of prompts that crash backend servers

Each attempt was judged by its server alone, and nothing remembered what the requests had in common.

The entry reads the parts of a prompt that other prompts may have too. An attempt whose connection is lost while its answer begins makes them suspects, at all entries; an answer that gets further clears them, at all entries. The decision waits 0.4 to 0.5 s for what other entries served. Requests with a quarantined part are rejected as not run; running ones that have not begun are ended. The quarantine lasts ten minutes, is sent to all entries and kept in the store for those that start later; an answer that was served, or an operator who removes the key, ends it. Decision, inputs and end are logged; toucanbend_quarantined_parts counts.

--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -60,6 +60,12 @@
   detail: `status ${String(start?.status)} without a signature`,
 });
 
+const interruptedStream = (detail: string): AttemptResult => ({
+  failure: AttemptFailure.InDoubt,
+  detail,
+  isConnectionLost: true,
+});
+
 /** Buffers an answer and sends it to the caller when it is complete. */
 export class BufferedRelay implements AnswerRelay {
   readonly #context: ForwardingContext;
@@ -209,10 +215,10 @@
 
   #finish(): AttemptResult {
     if (this.#splitter.pendingBytes() > 0) {
-      return { failure: AttemptFailure.InDoubt, detail: 'stream ended in the middle of an event' };
+      return interruptedStream('stream ended in the middle of an event');
     }
     if (this.eventCount === 0 && this.#start?.isFramed === false) {
-      return { failure: AttemptFailure.InDoubt, detail: 'stream ended before its first event' };
+      return interruptedStream('stream ended before its first event');
     }
     this.#begin();
     this.#answer.end();
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -33,6 +33,8 @@
   readonly detail: string;
   /** Address of the server at fault, if the answer names one. */
   readonly faultyAddress?: string | undefined;
+  /** Whether the connection was lost after it was established, as happens when the server crashes. */
+  readonly isConnectionLost?: boolean;
 }
 
 /** The events of an attempt, reported in the order in which they occur. */
@@ -128,6 +130,11 @@
     this.fail(this.isSent ? AttemptFailure.InDoubt : AttemptFailure.NotSent, detail);
   }
 
+  failDisconnected(detail: string): void {
+    const failure = this.isSent ? AttemptFailure.InDoubt : AttemptFailure.NotSent;
+    this.report({ type: AttemptEventType.Failed, failure, detail, isConnectionLost: this.isSent });
+  }
+
   stopReporting(): void {
     this.#isFinished = true;
   }
@@ -166,7 +173,7 @@
   const body = coalesceBody(reporter);
   message.on('error', (error) => {
     body.flush();
-    reporter.failInterrupted(`answer interrupted: ${error.message}`);
+    reporter.failDisconnected(`answer interrupted: ${error.message}`);
   });
   if (start.isNotRun) {
     reporter.fail(AttemptFailure.NotRun, `status ${String(start.status)}`, start.faultyAddress);
@@ -188,7 +195,7 @@
   });
   message.on('close', () => {
     body.flush();
-    reporter.failInterrupted('connection closed before the end of the answer');
+    reporter.failDisconnected('connection closed before the end of the answer');
   });
 }
 
@@ -249,11 +256,11 @@
   });
   outgoing.on('error', (error) => {
     cancelTimer();
-    reporter.failInterrupted(error.message);
+    reporter.failDisconnected(error.message);
   });
   outgoing.on('close', () => {
     cancelTimer();
-    reporter.failInterrupted('connection closed');
+    reporter.failDisconnected('connection closed');
   });
   outgoing.end(options.body);
   return {
--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -1,6 +1,7 @@
 /** Writes answers to callers, and maps the end of a request to its HTTP status. */
 import { type ServerResponse } from 'node:http';
 import { Outcome } from '@toucanbend/core';
+import { RejectionReason } from '@toucanbend/placement';
 import { type RawHeaders } from './dialect.js';
 import { headersByName } from './headers.js';
 
@@ -20,12 +21,30 @@
   CallerGone = 'caller_gone',
   StreamBroken = 'stream_broken',
   Leaving = 'leaving',
+  /** The prompt has a part that crashes servers. */
+  Quarantined = 'quarantined',
   /** This process is too far behind with its input to serve the request in time. */
   Overloaded = 'overloaded',
   /** An unexpected exception while this process handled the request. */
   InternalFault = 'internal_fault',
 }
 
+const rejectionEnds: Readonly<Record<RejectionReason, EndReason>> = {
+  [RejectionReason.NoServer]: EndReason.NoServer,
+  [RejectionReason.TooLate]: EndReason.TooLate,
+  [RejectionReason.BeyondMemory]: EndReason.BeyondMemory,
+};
+
+/**
+ * Returns the reason for the end of a request that placement rejected.
+ *
+ * @param reason - why placement rejected it
+ * @returns the reason for its end
+ */
+export function endReasonOf(reason: RejectionReason): EndReason {
+  return rejectionEnds[reason];
+}
+
 /** The end of a request. */
 export interface RequestEnd {
   readonly outcome: Outcome;
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -7,6 +7,7 @@
   type PlannerSettings,
   type RetryBudget,
 } from '@toucanbend/placement';
+import { type Quarantine } from '@toucanbend/quarantine';
 import { type Registry } from '@toucanbend/registry';
 import { type Dialect } from './dialect.js';
 import { type EngineMemory } from './memory.js';
@@ -23,6 +24,7 @@
   readonly planner: PlannerSettings;
   readonly loadTracker: LoadTracker;
   readonly retries: RetryBudget;
+  readonly quarantine: Quarantine;
   readonly memory: EngineMemory;
   readonly memoryBounds: MemoryBounds;
   /** Returns the current registry. */
--- a/packages/forwarding/src/dialect.ts
+++ b/packages/forwarding/src/dialect.ts
@@ -8,6 +8,8 @@
   readonly maxAnswerTokens: number;
   /** The caller's estimate of the answer's length; undefined if it gave none. */
   readonly expectedAnswerTokens: number | undefined;
+  /** Ids of the parts that other prompts may have too, in order; the last part, the request's own, is not among them. */
+  readonly sharedParts: readonly string[];
 }
 
 /** The decoded headers of a caller's request. */
--- a/packages/forwarding/src/forward-message.ts
+++ b/packages/forwarding/src/forward-message.ts
@@ -5,6 +5,7 @@
 /** A message to the process of a request. */
 export type ForwardMessage =
   | { readonly type: ForwardMessageType.CallerGone }
+  | { readonly type: ForwardMessageType.Quarantined }
   | { readonly type: ForwardMessageType.MemoryIdle; readonly attempt: number }
   | { readonly type: ForwardMessageType.Attempt; readonly attempt: number; readonly event: AttemptEvent };
 
@@ -12,6 +13,8 @@
 export enum ForwardMessageType {
   /** The caller closed its connection. */
   CallerGone = 'caller_gone',
+  /** A part of prompts was quarantined. */
+  Quarantined = 'quarantined',
   /** An engine no longer uses the memory that is reserved for the attempt. */
   MemoryIdle = 'memory_idle',
   Attempt = 'attempt',
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -9,7 +9,6 @@
   planJob,
   type PlacementDecision,
   type PlannerInputs,
-  RejectionReason,
   splitJob,
 } from '@toucanbend/placement';
 import {
@@ -20,7 +19,7 @@
   RepeatPolicy,
 } from '@toucanbend/registry';
 import { type Attempt, AttemptFailure } from './attempt.js';
-import { type CallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
+import { type CallerAnswer, EndReason, endReasonOf, type RequestEnd } from './caller-answer.js';
 import {
   type AnswerRelay,
   type AttemptResult,
@@ -28,10 +27,11 @@
   type FallbackAnswer,
   StreamRelay,
 } from './answer-relay.js';
-import { type AnswerTiming, decisionLogFields, emptyTiming } from './log-fields.js';
+import { type AnswerTiming, decisionLogFields, emptyTiming, extendTiming } from './log-fields.js';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { dispatchAttempt } from './dispatch.js';
+import { isSoonEnough } from './failover.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
 import { recordFailedServer } from './failed-server.js';
 import { ReleaseCause, type ReservationOwner } from './part-reservation.js';
@@ -39,30 +39,21 @@
 import { emptyHistory, mayRetry, outcomeOf, recordFailedAttempt } from './attempt-history.js';
 import { recordEndedShares, recordPlacedShares } from './placed-shares.js';
 import { reserveParts } from './reservation.js';
+import { createRequestQuarantine, type RequestQuarantine } from './request-quarantine.js';
 import { inactivityTimeoutMs } from './inactivity-timeout.js';
 
 /** Interval at which failover is considered again while a server is unresponsive, in milliseconds. */
 const FAILOVER_CHECK_INTERVAL_MS = 250;
-/**
- * Multiple of the route's target within which another server must be predicted to send its next event; a later event does
- * not justify abandoning the current server.
- */
-const FAILOVER_TARGET_FACTOR = 2;
 /** Retry delay given to the caller after attempts that did not run, in milliseconds. */
 const RETRY_AFTER_FAILURE_MS = 250;
 
-const refusalReasons: Readonly<Record<RejectionReason, EndReason>> = {
-  [RejectionReason.NoServer]: EndReason.NoServer,
-  [RejectionReason.TooLate]: EndReason.TooLate,
-  [RejectionReason.BeyondMemory]: EndReason.BeyondMemory,
-};
-
 class RequestForwarder {
   readonly #context: ForwardingContext;
   readonly #request: CallerRequest;
   readonly #answer: CallerAnswer;
   readonly #inbox: Channel<ForwardMessage>;
   readonly #job: Job;
+  readonly #quarantine: RequestQuarantine;
   #attemptHistory = emptyHistory;
   #attemptNumber = 0;
   #triedServers = new Set<string>();
@@ -74,6 +65,8 @@
   #dispatchedAtMs = 0;
   /** When the last event of the running attempt arrived; before the first event, when the attempt was dispatched. */
   #lastEventAtMs = 0;
+  /** Number of events of the running attempt. */
+  #attemptEvents = 0;
   /** Whether the memory reserved for the running attempt is no longer in use at its engines. */
   #isMemoryIdle = false;
   #timing: AnswerTiming = emptyTiming;
@@ -89,6 +82,7 @@
     this.#answer = answer;
     this.#inbox = inbox;
     this.#job = jobOf(request);
+    this.#quarantine = createRequestQuarantine(context, request);
   }
 
   *run(): ProcessBody<RequestEnd> {
@@ -98,9 +92,14 @@
       if (this.#timeLeftMs() <= 0) {
         return this.#endWithoutAnswer(EndReason.DeadlinePassed, 0);
       }
+      const quarantined = this.#quarantine.find();
+      if (quarantined !== undefined) {
+        this.#log(LogDecision.Route, { decided: DecisionKind.Reject, ...quarantined });
+        return this.#endWithoutAnswer(EndReason.Quarantined, quarantined.leftMs);
+      }
       const decision = this.#plan();
       if (decision.kind === DecisionKind.Reject) {
-        return this.#endWithoutAnswer(refusalReasons[decision.reason], decision.retryAfterMs);
+        return this.#endWithoutAnswer(endReasonOf(decision.reason), decision.retryAfterMs);
       }
       if (decision.kind === DecisionKind.Wait) {
         const isGone = yield* this.#wait(decision.waitMs);
@@ -123,14 +122,17 @@
     }
   }
 
-  /** Waits for half to all of `waitMs`, chosen at random. Returns true if the caller disconnects meanwhile. */
+  /**
+   * Waits for half to all of `waitMs`, chosen at random, or until the caller disconnects or a part is quarantined. Returns
+   * whether the caller disconnected.
+   */
   *#wait(waitMs: number): ProcessBody<boolean> {
     const { clock, random } = this.#context;
     const untilMs = clock.now() + waitMs * (0.5 + random.fraction() / 2);
     for (let leftMs = untilMs - clock.now(); leftMs > 0; leftMs = untilMs - clock.now()) {
       const received = yield* receiveWithin(this.#inbox, clock, leftMs);
-      if (!received.timedOut && received.value.type === ForwardMessageType.CallerGone) {
-        return true;
+      if (!received.timedOut && received.value.type !== ForwardMessageType.Attempt) {
+        return received.value.type === ForwardMessageType.CallerGone;
       }
     }
     return false;
@@ -164,6 +166,7 @@
         ...decisionLogFields(decision, this.#context.loadTracker),
         waitedMs: Math.round(this.#context.clock.now() - this.#request.receivedAtMs),
         inputDelayMs: Math.round(this.#request.inputDelayMs),
+        parts: this.#request.head.prompt?.sharedParts ?? [],
         serversRevision: registry.revisions[RecordKind.Server],
       });
     }
@@ -185,6 +188,7 @@
     this.#dispatchedAtMs = clock.now();
     this.#lastEventAtMs = this.#dispatchedAtMs;
     this.#isMemoryIdle = false;
+    this.#attemptEvents = 0;
     let attempt: Attempt | undefined;
     let result: AttemptResult;
     try {
@@ -197,10 +201,14 @@
     }
     if (result.failure === undefined) {
       loadTracker.succeeded(server.id);
+      if (result.end.reason === EndReason.Answered) {
+        this.#quarantine.recordAnswer();
+      }
       return result.end;
     }
     this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, result.failure);
     this.#context.metrics.countFailure(result.failure);
+    this.#quarantine.recordFailure(server, result, this.#attemptEvents);
     const failed = recordFailedServer(this.#context, server, helpers, result);
     this.#triedServers.delete(server.id);
     this.#triedServers.add(failed.id);
@@ -210,6 +218,7 @@
       failure: result.failure,
       detail: result.detail,
       attempt: this.#attemptNumber,
+      events: this.#attemptEvents,
       lastEventId: this.#lastEventId ?? -1,
     });
     return undefined;
@@ -270,9 +279,7 @@
       const received = yield* receiveWithin(this.#inbox, clock, Math.max(0, waitMs));
       if (received.timedOut) {
         if (this.#timeLeftMs() <= 0) {
-          const failure = attempt.isSent() ? AttemptFailure.InDoubt : AttemptFailure.NotSent;
-          this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, failure);
-          return { failure: undefined, end: this.#endWithoutAnswer(EndReason.DeadlinePassed, 0) };
+          return this.#abandon(attempt, EndReason.DeadlinePassed);
         }
         if (!attempt.isSent()) {
           return { failure: AttemptFailure.NotSent, detail: 'connection timed out' };
@@ -290,6 +297,12 @@
       if (message.type === ForwardMessageType.CallerGone) {
         return { failure: undefined, end: this.#end(Outcome.Unknown, EndReason.CallerGone, 0) };
       }
+      if (message.type === ForwardMessageType.Quarantined) {
+        if (relay.eventCount === 0 && this.#quarantine.find() !== undefined) {
+          return this.#abandon(attempt, EndReason.Quarantined);
+        }
+        continue;
+      }
       if (message.attempt !== this.#attemptNumber) {
         continue;
       }
@@ -299,6 +312,7 @@
       }
       const eventsBefore = relay.eventCount;
       const result = relay.handle(message.event, this.#mayRepeatErrors());
+      this.#attemptEvents = relay.eventCount;
       this.#lastEventId = relay.lastEventId ?? this.#lastEventId;
       if (relay.eventCount > eventsBefore) {
         this.#recordEvent(
@@ -308,6 +322,7 @@
           eventsBefore === 0 ? undefined : clock.now() - this.#lastEventAtMs,
         );
         this.#lastEventAtMs = clock.now();
+        this.#quarantine.recordEvent(relay.eventCount);
       }
       if (result !== undefined) {
         this.#fallback = relay.fallback ?? this.#fallback;
@@ -316,6 +331,13 @@
     }
   }
 
+  /** Ends the request while an attempt is running, which the server may already have begun. */
+  #abandon(attempt: Attempt, reason: EndReason): AttemptResult {
+    const failure = attempt.isSent() ? AttemptFailure.InDoubt : AttemptFailure.NotSent;
+    this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, failure);
+    return { failure: undefined, end: this.#endWithoutAnswer(reason, 0) };
+  }
+
   /** Timing of the answer so far, for the log. */
   get timing(): AnswerTiming {
     return this.#timing;
@@ -324,17 +346,13 @@
   #recordEvent(server: BackendServer, relay: AnswerRelay, atMs: number, pauseMs: number | undefined): void {
     const { loadTracker, metrics, planner } = this.#context;
     const { engine } = this.#request.service;
-    this.#timing = {
+    this.#timing = extendTiming(this.#timing, {
       server: server.id,
-      attempts: this.#attemptNumber,
-      expectedMs:
-        this.#timing.events === 0
-          ? this.#dispatchedAtMs - this.#request.receivedAtMs + this.#expectedMs
-          : this.#timing.expectedMs,
-      firstEventMs: this.#timing.events === 0 ? atMs - this.#request.receivedAtMs : this.#timing.firstEventMs,
-      longestPauseMs: Math.max(this.#timing.longestPauseMs, pauseMs ?? 0),
-      events: this.#timing.events + 1,
-    };
+      attempt: this.#attemptNumber,
+      expectedMs: this.#dispatchedAtMs - this.#request.receivedAtMs + this.#expectedMs,
+      elapsedMs: atMs - this.#request.receivedAtMs,
+      pauseMs,
+    });
     if (pauseMs === undefined && this.#attemptNumber === 1) {
       const elapsedMs = atMs - this.#request.receivedAtMs;
       metrics.observeFirstEvent(this.#request.rank, elapsedMs);
@@ -355,10 +373,10 @@
     }
     const inputs = this.#plannerInputs({ mayWait: false, replacesAttempt: true });
     const decision = planJob(this.#job, service, this.#triedServers, inputs, clock.now());
-    const isSoonEnough =
-      decision.kind === DecisionKind.Send &&
-      decision.expectedMs < Math.min(FAILOVER_TARGET_FACTOR * route.targetMs, this.#timeLeftMs());
-    return isSoonEnough && retries.canSpend(service.name, entryCount(), clock.now());
+    return (
+      isSoonEnough(decision, route.targetMs, this.#timeLeftMs()) &&
+      retries.canSpend(service.name, entryCount(), clock.now())
+    );
   }
 
   #inactivityTimeoutMs(relay: AnswerRelay): number {
@@ -426,6 +444,13 @@
   inbox: Channel<ForwardMessage>,
 ): ProcessBody<ForwardResult> {
   const forwarder = new RequestForwarder(context, request, answer, inbox);
-  const end = yield* forwarder.run();
-  return { end, timing: forwarder.timing };
+  const stopListening = context.quarantine.onQuarantined(() => {
+    inbox.send({ type: ForwardMessageType.Quarantined });
+  });
+  try {
+    const end = yield* forwarder.run();
+    return { end, timing: forwarder.timing };
+  } finally {
+    stopListening();
+  }
 }
--- a/packages/forwarding/src/log-fields.ts
+++ b/packages/forwarding/src/log-fields.ts
@@ -23,6 +23,38 @@
   events: 0,
 };
 
+/** An event of an answer, as its timing records it. */
+export interface TimedEvent {
+  readonly server: string;
+  /** Number of the attempt that the event belongs to. */
+  readonly attempt: number;
+  /** Predicted time from the request to its first event, in milliseconds. */
+  readonly expectedMs: number;
+  /** Time since the request, in milliseconds. */
+  readonly elapsedMs: number;
+  /** Time since the previous event, in milliseconds; undefined for the first event of an attempt. */
+  readonly pauseMs: number | undefined;
+}
+
+/**
+ * Adds an event to the timing of an answer.
+ *
+ * @param timing - the timing so far
+ * @param event - the event
+ * @returns the timing with the event
+ */
+export function extendTiming(timing: AnswerTiming, event: TimedEvent): AnswerTiming {
+  const isFirst = timing.events === 0;
+  return {
+    server: event.server,
+    attempts: event.attempt,
+    expectedMs: isFirst ? event.expectedMs : timing.expectedMs,
+    firstEventMs: isFirst ? event.elapsedMs : timing.firstEventMs,
+    longestPauseMs: Math.max(timing.longestPauseMs, event.pauseMs ?? 0),
+    events: timing.events + 1,
+  };
+}
+
 /**
  * Builds the log fields of a placement decision.
  *
--- /dev/null
+++ b/packages/forwarding/test/quarantine.test.ts
@@ -0,0 +1,110 @@
+/** Requests with a part of their prompts that crashes the servers. */
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { createManualClock, type ManualClock } from '@toucanbend/core';
+import { paths, startTestGateway, type TestGateway } from './support/gateway.js';
+import {
+  callAs,
+  type CallerResult,
+  type Script,
+  type ScriptedServer,
+  startScriptedServer,
+} from './support/scripted-server.js';
+
+const open: { close(): void }[] = [];
+
+afterEach(() => {
+  open.splice(0).forEach((item) => {
+    item.close();
+  });
+});
+
+const CRASH_INTERVAL_MS = 200;
+/** Longer than the delay of a decision, shorter than the caller's timeout. */
+const DECIDED_MS = 600;
+const SERVERS = 6;
+const EVENTS = 4;
+
+interface Deployment {
+  readonly clock: ManualClock;
+  readonly gateway: TestGateway;
+  /** Requests with the deadly part that reached a server. */
+  deadlyRequests(): number;
+  call(parts: string): Promise<CallerResult>;
+}
+
+const HEAD = ['HTTP/1.1 200 OK', 'signature: vane-1', 'content-type: text/event-stream', 'connection: close'];
+const event = (id: number): string => `id: ${String(id)}\ndata: vane\n\n`;
+
+/** Starts servers that crash when they begin an answer to a prompt with the part `deadly`, and serve all others. */
+async function startDeployment(eventsBeforeCrash: number): Promise<Deployment> {
+  const clock = createManualClock();
+  const answer: Script = (socket, request) => {
+    const isDeadly = request.headers.get('parts')?.split(',').includes('deadly') === true;
+    const head = [...HEAD, `request-id: ${request.headers.get('request-id') ?? ''}`].join('\r\n');
+    const count = isDeadly ? eventsBeforeCrash : EVENTS;
+    const events = Array.from({ length: count }, (_, index) => event(index + 1)).join('');
+    clock.advance(CRASH_INTERVAL_MS);
+    socket.write(`${head}\r\n\r\n${events}`, () => {
+      if (isDeadly) {
+        socket.resetAndDestroy();
+      } else {
+        socket.end();
+      }
+    });
+  };
+  const servers: ScriptedServer[] = await Promise.all(
+    Array.from({ length: SERVERS }, () => startScriptedServer(answer)),
+  );
+  const gateway = await startTestGateway(
+    servers.map((server) => server.port),
+    { clock },
+  );
+  open.push(gateway, ...servers);
+  let calls = 0;
+  return {
+    clock,
+    gateway,
+    deadlyRequests: () =>
+      servers
+        .flatMap(({ received }) => received)
+        .filter(({ headers }) => headers.get('parts')?.includes('deadly') === true).length,
+    call: (parts) => {
+      calls += 1;
+      const headers = { parts, 'prompt-tokens': '2000', 'request-id': `r${String(calls)}` };
+      return callAs({ port: gateway.port, path: paths.stream, headers }).result;
+    },
+  };
+}
+
+async function crashUntilDecided(deployment: Deployment): Promise<void> {
+  await deployment.call('workshop,deadly');
+  await deployment.call('workshop,deadly');
+  deployment.clock.advance(DECIDED_MS);
+}
+
+describe('a part of prompts that crashes each server that begins an answer', () => {
+  for (const eventsBeforeCrash of [0, 1]) {
+    it(`reaches no further server after a few crashes, ${String(eventsBeforeCrash)} events into the answer`, async () => {
+      const deployment = await startDeployment(eventsBeforeCrash);
+      await crashUntilDecided(deployment);
+      const before = deployment.deadlyRequests();
+      const rejected = await deployment.call('deadly,festival');
+      assert.equal(rejected.status, 503);
+      assert.equal(rejected.headers['retry-after'], '600.000');
+      assert.equal(JSON.parse(rejected.body).reason, 'quarantined');
+      assert.equal(deployment.deadlyRequests(), before);
+    });
+  }
+
+  it('does not keep sound prompts with the same other parts from the servers', async () => {
+    const deployment = await startDeployment(0);
+    await crashUntilDecided(deployment);
+    const sound = await deployment.call('workshop,festival');
+    assert.equal(sound.status, 200);
+    assert.ok(
+      sound.body.endsWith(event(EVENTS)),
+      `the whole answer arrives, not ${JSON.stringify(sound.body)}`,
+    );
+  });
+});
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -10,6 +10,7 @@
 } from '@toucanbend/forwarding';
 import { type DecisionLine, type Logger } from '@toucanbend/observability';
 import { createLoadTracker, createRetryBudget, type LoadUpdate } from '@toucanbend/placement';
+import { createQuarantine } from '@toucanbend/quarantine';
 import {
   AnswerForm,
   type Catalogue,
@@ -42,6 +43,7 @@
             promptTokens: Number(headers['prompt-tokens']),
             maxAnswerTokens: 100,
             expectedAnswerTokens: 100,
+            sharedParts: headers.parts === undefined ? [] : String(headers.parts).split(','),
           },
   }),
   writeAttempt: (callerHeaders, attempt) => {
@@ -198,6 +200,15 @@
   const catalogueKnown = new Promise<void>((resolve) => {
     resolveCatalogue = resolve;
   });
+  const quarantine = createQuarantine({
+    clock,
+    wallClock: () => 0,
+    random: createRandom(1),
+    logger: createRecordingLogger(decisions),
+    broadcast: () => undefined,
+    publish: () => Promise.resolve(true),
+    withdraw: () => undefined,
+  });
   const context: ForwardingContext = {
     clock,
     random: createRandom(1),
@@ -216,6 +227,7 @@
     acceptsRequests: () => takesRequests,
     hasPartialLoadView: () => false,
     broadcast: (update) => updates.push(update),
+    quarantine,
   };
   const callerPort = createCallerPort(context);
   const port = await callerPort.listen('127.0.0.1', 0);
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -7,6 +7,7 @@
   readonly linkedEntries: () => number;
   readonly knownEntries: () => number;
   readonly readyServers: () => number;
+  readonly quarantinedParts: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -23,6 +24,10 @@
   linkedEntries: ['toucanbend_linked_entries', 'Other entries with an open link.'],
   knownEntries: ['toucanbend_known_entries', 'Entries that are registered in the store, including this one.'],
   readyServers: ['toucanbend_ready_servers', 'Backend servers that are registered as ready for requests.'],
+  quarantinedParts: [
+    'toucanbend_quarantined_parts',
+    'Parts of prompts that are rejected because they crash backend servers.',
+  ],
   catalogueVersion: [
     'toucanbend_catalogue_version',
     'Version of the configuration in force; 0 before the first.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
   createRetryBudget,
   type RetryBound,
 } from '@toucanbend/placement';
+import { createQuarantine, type Quarantine } from '@toucanbend/quarantine';
 import {
   type EntryMember,
   listEntries,
@@ -39,6 +40,7 @@
 import { registerGatewayMetrics } from './gateway-metrics.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
+import { applyQuarantineRecords } from './quarantine-records.js';
 import { openReadyPort } from './ready-port.js';
 
 /** Addresses, settings and dependencies of a gateway. */
@@ -62,6 +64,8 @@
   /** Configured addresses of other entries, dialled besides the registered ones. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
+  /** Returns the time of day, in milliseconds since 1970. */
+  readonly wallClock: () => number;
   readonly logger: Logger;
 }
 
@@ -76,6 +80,7 @@
   [RecordKind.Catalogue]: { waitMs: 2_000, intervalMs: 200, isShared: false },
   [RecordKind.Server]: { waitMs: 2_000, intervalMs: 400, isShared: true },
   [RecordKind.Entry]: { waitMs: 5_000, intervalMs: 1_000, isShared: true },
+  [RecordKind.Quarantine]: { waitMs: 10_000, intervalMs: 1_000, isShared: true },
 };
 /** Assumed round-trip time to a server in another data centre, in milliseconds; used until times are measured. */
 const CROSS_DATA_CENTRE_RTT_MS = 8;
@@ -101,6 +106,34 @@
   const engineOf = (name: string): EngineParameters | undefined =>
     holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
   const storeHealth = createStoreHealth(clock, logger);
+  const quarantine: Quarantine = createQuarantine({
+    clock,
+    wallClock: options.wallClock,
+    random,
+    logger,
+    broadcast: (update) => {
+      peers.broadcastQuarantine(update);
+    },
+    publish: async (quarantined) => {
+      const written = await source.quarantine(quarantined);
+      return written.match(
+        () => true,
+        ({ message }) => {
+          logger.warn('quarantined part not written to the store', { ...quarantined, error: message });
+          return false;
+        },
+      );
+    },
+    withdraw: (quarantined) => {
+      if (isReader(member.name, peers.peersReachingStore())) {
+        void source.endQuarantine(quarantined).then((removed) => {
+          removed.mapErr(({ message }) => {
+            logger.warn('quarantined part not removed from the store', { ...quarantined, error: message });
+          });
+        });
+      }
+    },
+  });
   const peers = createPeers({
     member,
     incarnation: randomUUID(),
@@ -114,6 +147,8 @@
     onLoadUpdate: (from, update) => {
       applyLoadUpdate(loadTracker, from, update, engineOf, clock.now());
     },
+    onQuarantineUpdate: quarantine.receive.bind(quarantine),
+    quarantinedParts: quarantine.list.bind(quarantine),
     onProcessEnded: loadTracker.dropOwner,
     onUnreachable: loadTracker.markUnreachable,
   });
@@ -137,6 +172,7 @@
     },
     loadTracker,
     retries: createRetryBudget(options.retryBound),
+    quarantine,
     registry: holder.current,
     waitForConfiguration: (waitMs) =>
       holder.current().catalogue === undefined
@@ -152,6 +188,7 @@
   const port = createCallerPort(context);
   holder.onChange((after, before) => {
     logRegistryChanges(logger, after, before);
+    applyQuarantineRecords(quarantine, after, before);
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
       port.applyLimits(after.catalogue);
       resolveConfigured();
@@ -183,6 +220,7 @@
     linkedEntries: peers.linkCount.bind(peers),
     knownEntries: () => listEntries(holder.current()).length,
     readyServers: () => readyServers(holder.current()).length,
+    quarantinedParts: () => quarantine.list().length,
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
     storeAnswers: () => (storeHealth.isReachable() ? 1 : 0),
     storeCalls: () => storeHealth.counts().calls,
@@ -194,6 +232,7 @@
   registrar.start();
   const prune = (): void => {
     loadTracker.prune(new Set(listServers(holder.current()).map((server) => server.id)), clock.now());
+    quarantine.prune();
     clock.after(PRUNE_INTERVAL_MS, prune);
   };
   prune();
@@ -207,7 +246,7 @@
       metricsRegistry,
       logger,
       isReady,
-      status: () => describeRegistry(holder.current()),
+      status: () => ({ ...describeRegistry(holder.current()), quarantined: quarantine.list() }),
     });
   }
   logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -195,7 +195,7 @@
  * @returns the follower, which does not call the store before `start`
  */
 export function createFollower(options: FollowerOptions): Follower {
-  const kinds = [RecordKind.Catalogue, RecordKind.Server, RecordKind.Entry];
+  const kinds = Object.values(RecordKind);
   const followers = new Map(kinds.map((kind) => [kind, new KindFollower(options, kind)]));
   return {
     start: () => {
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -6,11 +6,18 @@
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import { decodeLoadUpdate, encodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
+import {
+  decodeQuarantineUpdate,
+  encodeQuarantineUpdate,
+  type QuarantineUpdate,
+  QuarantineUpdateKind,
+} from '@toucanbend/quarantine';
 import {
   type EntryMember,
   isBehind,
   listEntries,
   newestRevisions,
+  type QuarantinedPart,
   RecordKind,
   recordsSince,
   type RegistryRecord,
@@ -37,6 +44,8 @@
   stop(): void;
   /** Sends a load update to all other entries; updates within a short window share a frame. */
   broadcast(update: LoadUpdate): void;
+  /** Sends an update about quarantined parts to all other entries, in the same frames. */
+  broadcastQuarantine(update: QuarantineUpdate): void;
   /**
    * Sends a digest of this entry's newest record revisions to all other entries after a short random delay. Further
    * calls during the delay have no effect.
@@ -63,6 +72,9 @@
   /** Whether the store is reachable from this entry. */
   readonly isStoreReachable: () => boolean;
   readonly onLoadUpdate: (from: string, update: LoadUpdate) => void;
+  readonly onQuarantineUpdate: (update: QuarantineUpdate) => void;
+  /** Returns the quarantined parts in force, which are sent to each entry that is linked. */
+  readonly quarantinedParts: () => readonly QuarantinedPart[];
   /** Called when the process of an entry has ended, or a new process has taken its place. */
   readonly onProcessEnded: (name: string) => void;
   /** Called when a link fails without being closed by the peer, whose process may still be running. */
@@ -103,7 +115,7 @@
   readonly #options: PeersOptions;
   readonly #pool;
   readonly #endpoint: EndpointOptions;
-  #pendingUpdates: LoadUpdate[] = [];
+  #pendingUpdates: ((nowMs: number) => unknown[])[] = [];
   #dialled = new Map<string, Link>();
   /** Names of entries that have reported the store as unreachable. */
   readonly #withoutStore = new Set<string>();
@@ -157,7 +169,15 @@
   }
 
   broadcast(update: LoadUpdate): void {
-    this.#pendingUpdates.push(update);
+    this.#queue((nowMs) => encodeLoadUpdate(update, nowMs));
+  }
+
+  broadcastQuarantine(update: QuarantineUpdate): void {
+    this.#queue((nowMs) => encodeQuarantineUpdate(update, nowMs));
+  }
+
+  #queue(encode: (nowMs: number) => unknown[]): void {
+    this.#pendingUpdates.push(encode);
     if (this.#pendingUpdates.length === 1) {
       this.#options.clock.after(BATCH_WINDOW_MS, () => {
         this.#flush();
@@ -197,7 +217,7 @@
 
   #flush(): void {
     const nowMs = this.#options.clock.now();
-    const changes = this.#pendingUpdates.map((update) => encodeLoadUpdate(update, nowMs));
+    const changes = this.#pendingUpdates.map((encode) => encode(nowMs));
     this.#pendingUpdates = [];
     for (const link of this.#dialled.values()) {
       link.send({ type: FrameType.LoadUpdates, changes });
@@ -299,6 +319,7 @@
       }
     });
     this.#sendDigest([link]);
+    this.#sendQuarantinedParts(link);
   }
 
   #addAccepted(link: Link): void {
@@ -320,16 +341,36 @@
     });
   }
 
+  #applyUpdate(link: Link, change: unknown, nowMs: number): void {
+    const { onLoadUpdate, onQuarantineUpdate } = this.#options;
+    const loadUpdate = decodeLoadUpdate(change, nowMs);
+    if (loadUpdate !== undefined) {
+      onLoadUpdate(link.peer.node, loadUpdate);
+      return;
+    }
+    const quarantineUpdate = decodeQuarantineUpdate(change, nowMs);
+    if (quarantineUpdate !== undefined) {
+      onQuarantineUpdate(quarantineUpdate);
+    }
+  }
+
+  #sendQuarantinedParts(link: Link): void {
+    const { clock, quarantinedParts } = this.#options;
+    const changes = quarantinedParts().map((quarantined) =>
+      encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, clock.now()),
+    );
+    if (changes.length > 0) {
+      link.send({ type: FrameType.LoadUpdates, changes });
+    }
+  }
+
   #handle(link: Link, frame: Frame): void {
-    const { holder, clock, onLoadUpdate } = this.#options;
+    const { holder, clock } = this.#options;
     switch (frame.type) {
       case FrameType.LoadUpdates: {
         const nowMs = clock.now();
         for (const change of frame.changes) {
-          const update = decodeLoadUpdate(change, nowMs);
-          if (update !== undefined) {
-            onLoadUpdate(link.peer.node, update);
-          }
+          this.#applyUpdate(link, change, nowMs);
         }
         break;
       }
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -79,6 +79,14 @@
   register: RegistrySource['register'] = () => Promise.resolve(err(unreachable));
   renew: RegistrySource['renew'] = () => Promise.resolve(ok());
 
+  quarantine(): ReturnType<RegistrySource['quarantine']> {
+    return Promise.resolve(ok());
+  }
+
+  endQuarantine(): ReturnType<RegistrySource['endQuarantine']> {
+    return Promise.resolve(ok());
+  }
+
   release(): ReturnType<RegistrySource['release']> {
     return Promise.resolve(ok());
   }
@@ -123,6 +131,7 @@
     [RecordKind.Catalogue]: settings,
     [RecordKind.Server]: { ...settings, isShared: peers.isShared },
     [RecordKind.Entry]: settings,
+    [RecordKind.Quarantine]: settings,
   };
   const storeHealth = createStoreHealth(clock, logger);
   let changes = 0;
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -5,9 +5,11 @@
 import { createRandom, createSystemClock } from '@toucanbend/core';
 import { createPeers, createRegistryHolder, type Peers, type RegistryHolder } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
+import { type QuarantineUpdate, QuarantineUpdateKind } from '@toucanbend/quarantine';
 import {
   type EntryMember,
   listServers,
+  type QuarantinedPart,
   RecordKind,
   type RegistryRecord,
   ServerState,
@@ -38,6 +40,10 @@
   readonly gone: string[];
   /** Resolves with the first such report. */
   readonly whenEnded: Promise<void>;
+  /** Updates about quarantined parts, in order of receipt. */
+  readonly quarantineUpdates: readonly QuarantineUpdate[];
+  /** Resolves with the first such update. */
+  readonly whenUpdated: Promise<void>;
   /** Resolves once a condition on the registry is met. */
   until(isMet: () => boolean): Promise<void>;
 }
@@ -47,9 +53,16 @@
   readonly incarnation: string;
   readonly seeds: readonly string[];
   readonly isStoreReachable: boolean;
+  readonly quarantined?: readonly QuarantinedPart[];
 }
 
-async function startEntry({ member, incarnation, seeds, isStoreReachable }: EntryOptions): Promise<Entry> {
+async function startEntry(options: EntryOptions): Promise<Entry> {
+  const { member, incarnation, seeds, isStoreReachable, quarantined = [] } = options;
+  const quarantineUpdates: QuarantineUpdate[] = [];
+  let resolveUpdate = ignore;
+  const whenUpdated = new Promise<void>((resolve) => {
+    resolveUpdate = resolve;
+  });
   const holder = createRegistryHolder();
   const gone: string[] = [];
   let resolveEnded = ignore;
@@ -67,6 +80,11 @@
     logger,
     isStoreReachable: () => isStoreReachable,
     onLoadUpdate: ignore,
+    onQuarantineUpdate: (update) => {
+      quarantineUpdates.push(update);
+      resolveUpdate();
+    },
+    quarantinedParts: () => quarantined,
     onProcessEnded: (name) => {
       gone.push(name);
       resolveEnded();
@@ -85,7 +103,7 @@
             }
           });
         });
-  return { peers, holder, gone, whenEnded, until };
+  return { peers, holder, gone, whenEnded, quarantineUpdates, whenUpdated, until };
 }
 
 function server(id: string, revision: number): RegistryRecord {
@@ -132,6 +150,24 @@
     assert.equal(other.holder.current().revisions[RecordKind.Server], 12);
   });
 
+  it('tell an entry that starts later which parts of prompts are quarantined', async () => {
+    const [first, second] = await Promise.all([freeAddress(), freeAddress()]);
+    const member = (name: string, address: string): EntryMember => ({
+      name,
+      address,
+      dataCentre: 'bagmati-a',
+    });
+    const part: QuarantinedPart = { service: 'vanes', part: 'deadly', untilMs: 600_000 };
+    const common = { incarnation: 'i1', isStoreReachable: false };
+    const started = { member: member('later', second), seeds: [], ...common };
+    const later = await startEntry(started);
+    await startEntry({ member: member('earlier', first), seeds: [second], quarantined: [part], ...common });
+    await later.whenUpdated;
+    assert.deepEqual(later.quarantineUpdates, [
+      { kind: QuarantineUpdateKind.Quarantined, quarantined: part },
+    ]);
+  });
+
   it('report by a new incarnation that a process has ended whose end no link reported', async () => {
     const addresses = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
     const [readerAddress = '', first = '', second = ''] = addresses;
--- a/packages/registry/src/registry.ts
+++ b/packages/registry/src/registry.ts
@@ -1,12 +1,14 @@
 /** The registry: a replica of the records in the store. A record is only ever replaced by one of a newer revision. */
 import { type Catalogue } from './catalogue.js';
 import { type BackendServer, type EntryMember } from './member.js';
+import { type QuarantinedPart } from './quarantined-part.js';
 
 /** Kinds of records. */
 export enum RecordKind {
   Catalogue = 'catalogue',
   Server = 'server',
   Entry = 'entry',
+  Quarantine = 'quarantine',
 }
 
 /** The newest revision of one object; a record without a value is a tombstone of a removed object. */
@@ -28,6 +30,12 @@
       readonly id: string;
       readonly revision: number;
       readonly value?: EntryMember;
+    }
+  | {
+      readonly kind: RecordKind.Quarantine;
+      readonly id: string;
+      readonly revision: number;
+      readonly value?: QuarantinedPart;
     };
 
 /** A revision of the store for each kind of record. */
@@ -38,6 +46,7 @@
   [RecordKind.Catalogue]: 0,
   [RecordKind.Server]: 0,
   [RecordKind.Entry]: 0,
+  [RecordKind.Quarantine]: 0,
 };
 
 /** Immutable state of the registry. */
@@ -79,6 +88,7 @@
     [RecordKind.Catalogue]: newest(RecordKind.Catalogue),
     [RecordKind.Server]: newest(RecordKind.Server),
     [RecordKind.Entry]: newest(RecordKind.Entry),
+    [RecordKind.Quarantine]: newest(RecordKind.Quarantine),
   };
 }
 
--- a/packages/registry/src/source.ts
+++ b/packages/registry/src/source.ts
@@ -1,6 +1,7 @@
 /** Interface of the store that the registry is read from. */
 import { type Result } from 'neverthrow';
 import { type EntryMember } from './member.js';
+import { type QuarantinedPart } from './quarantined-part.js';
 import { type RecordKind, type RegistryRecord } from './registry.js';
 
 /** Kinds of failed calls to the store. */
@@ -45,4 +46,8 @@
   renew(lease: string): Promise<Result<void, SourceError>>;
   /** Releases a lease, which removes the registration under it. */
   release(lease: string): Promise<Result<void, SourceError>>;
+  /** Writes a quarantined part; succeeds also if the store has it already. */
+  quarantine(quarantined: QuarantinedPart): Promise<Result<void, SourceError>>;
+  /** Removes a quarantined part. */
+  endQuarantine(quarantined: QuarantinedPart): Promise<Result<void, SourceError>>;
 }
