--- a/packages/quarantine/src/crash-evidence.ts
+++ b/packages/quarantine/src/crash-evidence.ts
@@ -113,7 +113,11 @@
 }
 
 function meetsThreshold({ losses }: PartEvidence, threshold: Threshold): boolean {
-  return countRequests(losses) >= threshold.requests && countCrashes(losses) >= threshold.crashes;
+  return (
+    losses.length >= threshold.crashes &&
+    countRequests(losses) >= threshold.requests &&
+    countCrashes(losses) >= threshold.crashes
+  );
 }
 
 /**
