forwarding: only an answer without a length is asked whether its connection was reset

An answer with a length or in chunks is complete by its framing, whatever happens to the connection afterwards. Its test passes on both states, since Node.js ends such an answer before the end of the connection; the condition now says what is meant.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -189,7 +189,7 @@
   message.on('data', body.add);
   message.on('end', () => {
     body.flush();
-    if (message.complete && !reporter.isReset) {
+    if (message.complete && (start.isFramed || !reporter.isReset)) {
       reporter.report({ type: AttemptEventType.Ended });
     }
   });
--- a/packages/forwarding/test/unframed-answer.test.ts
+++ b/packages/forwarding/test/unframed-answer.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { paths, startTestGateway } from './support/gateway.js';
 import {
+  answerTo,
   callAs,
   type CallerResult,
   firstThen,
@@ -65,6 +66,13 @@
     assert.deepEqual([answer.status, answer.body], [200, 'two copper vanes']);
   });
 
+  it('differs from one with a length, which is complete although its connection is reset afterwards', async () => {
+    const resetsAfterwards: Script = (socket, request) =>
+      socket.write(answerTo(request, 'two copper vanes'), () => socket.resetAndDestroy());
+    const answer = await callWithFaultyFirst(resetsAfterwards, resetsAfterwards, paths.once);
+    assert.deepEqual([answer.status, answer.body], [200, 'two copper vanes']);
+  });
+
   it('does not reach the caller as a success if its connection is reset', async () => {
     const answer = await callWithFaultyFirst(
       resetsAfter('two cop'),
