forwarding: an error response does not clear a part of prompts that crashes servers

A server that answers 500 before it begins proves nothing about the prompt, but the completed answer counted as served: one such response cleared the crashes before it, and the part then needed eight crashes in place of three. Only successful answers count now, and events that arrive together count as soon as there is more than one.

quarantine.test failed before: 502, after further crashes, in place of 503.

--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -37,6 +37,8 @@
 /** Relays the answer of one attempt. */
 export interface AnswerRelay {
   readonly hasStarted: boolean;
+  /** Whether the status of the answer reports a success. */
+  readonly isSuccess: boolean;
   readonly eventCount: number;
   readonly lastEventId: number | undefined;
   readonly fallback: FallbackAnswer | undefined;
@@ -90,6 +92,10 @@
     return this.#start !== undefined;
   }
 
+  get isSuccess(): boolean {
+    return isSuccess(this.#start?.status ?? 0);
+  }
+
   handle(event: AttemptEvent, mayRepeat: boolean): AttemptResult | undefined {
     switch (event.type) {
       case AttemptEventType.Started:
@@ -155,6 +161,10 @@
     return this.eventCount > 0;
   }
 
+  get isSuccess(): boolean {
+    return isSuccess(this.#start?.status ?? 0);
+  }
+
   get fallback(): FallbackAnswer | undefined {
     return this.#buffered.fallback;
   }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -201,9 +201,6 @@
     }
     if (result.failure === undefined) {
       loadTracker.succeeded(server.id);
-      if (result.end.reason === EndReason.Answered) {
-        this.#quarantine.recordAnswer();
-      }
       return result.end;
     }
     this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, result.failure);
@@ -322,10 +319,13 @@
           eventsBefore === 0 ? undefined : clock.now() - this.#lastEventAtMs,
         );
         this.#lastEventAtMs = clock.now();
-        this.#quarantine.recordEvent(relay.eventCount);
+        this.#quarantine.recordEvents(eventsBefore, relay.eventCount);
       }
       if (result !== undefined) {
         this.#fallback = relay.fallback ?? this.#fallback;
+        if (result.failure === undefined && relay.isSuccess) {
+          this.#quarantine.recordAnswer();
+        }
         return result;
       }
     }
--- a/packages/forwarding/src/request-quarantine.ts
+++ b/packages/forwarding/src/request-quarantine.ts
@@ -18,12 +18,13 @@
    */
   recordFailure(server: BackendServer, fault: AttemptFault, events: number): void;
   /**
-   * Records a further event of an attempt.
+   * Records further events of an attempt.
    *
-   * @param events - number of events of the attempt so far
+   * @param before - number of events of the attempt before
+   * @param events - number of events of the attempt now
    */
-  recordEvent(events: number): void;
-  /** Records that the answer is complete. */
+  recordEvents(before: number, events: number): void;
+  /** Records that a successful answer is complete. */
   recordAnswer(): void;
 }
 
@@ -56,8 +57,8 @@
         quarantine.lost({ service, server: server.id, request: requestId, parts, atMs: clock.now() });
       }
     },
-    recordEvent: (events) => {
-      if (events === MAX_EVENTS_OF_BEGINNING + 1) {
+    recordEvents: (before, events) => {
+      if (before <= MAX_EVENTS_OF_BEGINNING && events > MAX_EVENTS_OF_BEGINNING) {
         recordServed();
       }
     },
--- a/packages/forwarding/test/quarantine.test.ts
+++ b/packages/forwarding/test/quarantine.test.ts
@@ -4,6 +4,7 @@
 import { createManualClock, type ManualClock } from '@toucanbend/core';
 import { paths, startTestGateway, type TestGateway } from './support/gateway.js';
 import {
+  answerTo,
   callAs,
   type CallerResult,
   type Script,
@@ -36,10 +37,19 @@
 const HEAD = ['HTTP/1.1 200 OK', 'signature: vane-1', 'content-type: text/event-stream', 'connection: close'];
 const event = (id: number): string => `id: ${String(id)}\ndata: vane\n\n`;
 
-/** Starts servers that crash when they begin an answer to a prompt with the part `deadly`, and serve all others. */
-async function startDeployment(eventsBeforeCrash: number): Promise<Deployment> {
+/**
+ * Starts servers that crash when they begin an answer to a prompt with the part `deadly`, and serve all others. The
+ * second request fails with the status 500 in place of a crash if `failsOnce` is set.
+ */
+async function startDeployment(eventsBeforeCrash: number, failsOnce = false): Promise<Deployment> {
   const clock = createManualClock();
+  let received = 0;
   const answer: Script = (socket, request) => {
+    received += 1;
+    if (failsOnce && received === 2) {
+      socket.end(answerTo(request, 'broken', { status: 500 }));
+      return;
+    }
     const isDeadly = request.headers.get('parts')?.split(',').includes('deadly') === true;
     const head = [...HEAD, `request-id: ${request.headers.get('request-id') ?? ''}`].join('\r\n');
     const count = isDeadly ? eventsBeforeCrash : EVENTS;
@@ -97,6 +107,13 @@
     });
   }
 
+  it('is not taken for a sound one because a server failed without a crash', async () => {
+    const deployment = await startDeployment(0, true);
+    await deployment.call('workshop,deadly');
+    await crashUntilDecided(deployment);
+    assert.equal((await deployment.call('workshop,deadly')).status, 503);
+  });
+
   it('does not keep sound prompts with the same other parts from the servers', async () => {
     const deployment = await startDeployment(0);
     await crashUntilDecided(deployment);
