--- a/packages/forwarding/test/quarantine.test.ts
+++ b/packages/forwarding/test/quarantine.test.ts
@@ -29,8 +29,8 @@
 interface Deployment {
   readonly clock: ManualClock;
   readonly gateway: TestGateway;
-  /** Requests with the deadly part that reached a server. */
-  deadlyRequests(): number;
+  /** Requests with the poison part that reached a server. */
+  poisonRequests(): number;
   call(parts: string): Promise<CallerResult>;
 }
 
@@ -38,7 +38,7 @@
 const event = (id: number): string => `id: ${String(id)}\ndata: vane\n\n`;
 
 /**
- * Starts servers that crash when they begin an answer to a prompt with the part `deadly`, and serve all others. The
+ * Starts servers that crash when they begin an answer to a prompt with the part `poison`, and serve all others. The
  * second request fails with the status 500 in place of a crash if `failsOnce` is set.
  */
 async function startDeployment(eventsBeforeCrash: number, failsOnce = false): Promise<Deployment> {
@@ -50,13 +50,13 @@
       socket.end(answerTo(request, 'broken', { status: 500 }));
       return;
     }
-    const isDeadly = request.headers.get('parts')?.split(',').includes('deadly') === true;
+    const isPoison = request.headers.get('parts')?.split(',').includes('poison') === true;
     const head = [...HEAD, `request-id: ${request.headers.get('request-id') ?? ''}`].join('\r\n');
-    const count = isDeadly ? eventsBeforeCrash : EVENTS;
+    const count = isPoison ? eventsBeforeCrash : EVENTS;
     const events = Array.from({ length: count }, (_, index) => event(index + 1)).join('');
     clock.advance(CRASH_INTERVAL_MS);
     socket.write(`${head}\r\n\r\n${events}`, () => {
-      if (isDeadly) {
+      if (isPoison) {
         socket.resetAndDestroy();
       } else {
         socket.end();
@@ -75,10 +75,10 @@
   return {
     clock,
     gateway,
-    deadlyRequests: () =>
+    poisonRequests: () =>
       servers
         .flatMap(({ received }) => received)
-        .filter(({ headers }) => headers.get('parts')?.includes('deadly') === true).length,
+        .filter(({ headers }) => headers.get('parts')?.includes('poison') === true).length,
     call: (parts) => {
       calls += 1;
       const headers = { parts, 'prompt-tokens': '2000', 'request-id': `r${String(calls)}` };
@@ -88,8 +88,8 @@
 }
 
 async function crashUntilDecided(deployment: Deployment): Promise<void> {
-  await deployment.call('workshop,deadly');
-  await deployment.call('workshop,deadly');
+  await deployment.call('workshop,poison');
+  await deployment.call('workshop,poison');
   deployment.clock.advance(DECIDED_MS);
 }
 
@@ -98,20 +98,20 @@
     it(`reaches no further server after a few crashes, ${String(eventsBeforeCrash)} events into the answer`, async () => {
       const deployment = await startDeployment(eventsBeforeCrash);
       await crashUntilDecided(deployment);
-      const before = deployment.deadlyRequests();
-      const rejected = await deployment.call('deadly,festival');
+      const before = deployment.poisonRequests();
+      const rejected = await deployment.call('poison,festival');
       assert.equal(rejected.status, 503);
       assert.equal(rejected.headers['retry-after'], '600.000');
       assert.equal(JSON.parse(rejected.body).reason, 'quarantined');
-      assert.equal(deployment.deadlyRequests(), before);
+      assert.equal(deployment.poisonRequests(), before);
     });
   }
 
   it('is not taken for a sound one because a server failed without a crash', async () => {
     const deployment = await startDeployment(0, true);
-    await deployment.call('workshop,deadly');
+    await deployment.call('workshop,poison');
     await crashUntilDecided(deployment);
-    assert.equal((await deployment.call('workshop,deadly')).status, 503);
+    assert.equal((await deployment.call('workshop,poison')).status, 503);
   });
 
   it('does not keep sound prompts with the same other parts from the servers', async () => {
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -157,7 +157,7 @@
       address,
       dataCentre: 'bagmati-a',
     });
-    const part: QuarantinedPart = { service: 'vanes', part: 'deadly', untilMs: 600_000 };
+    const part: QuarantinedPart = { service: 'vanes', part: 'poison', untilMs: 600_000 };
     const common = { incarnation: 'i1', isStoreReachable: false };
     const started = { member: member('later', second), seeds: [], ...common };
     const later = await startEntry(started);
--- a/packages/quarantine/src/crash-evidence.ts
+++ b/packages/quarantine/src/crash-evidence.ts
@@ -34,7 +34,7 @@
   servedAtMs: number | undefined;
 }
 
-/** The number of separate crashes and of requests that condemn a part. */
+/** The number of separate crashes and of requests that identify a part. */
 interface Threshold {
   readonly crashes: number;
   readonly requests: number;
@@ -121,7 +121,7 @@
 }
 
 /**
- * Orders condemned parts: first those that were never served, then those that come last in their prompts, since the first
+ * Orders identified parts: first those that were never served, then those that come last in their prompts, since the first
  * parts are shared by more prompts, sound ones among them.
  */
 function compareCulprits(left: PartEvidence, right: PartEvidence): number {
@@ -168,7 +168,7 @@
     evidence.losses = [];
   };
 
-  const isCondemned = (evidence: PartEvidence): boolean => {
+  const isIdentified = (evidence: PartEvidence): boolean => {
     const unknownThreshold = evidence.servedAtMs === undefined ? UNSERVED_THRESHOLD : SERVED_THRESHOLD;
     return meetsThreshold(evidence, known.has(evidence.part) ? KNOWN_THRESHOLD : unknownThreshold);
   };
@@ -200,7 +200,7 @@
     servedAtMs: (service, part) => byPart.get(keyOf(service, part))?.servedAtMs,
     isSuspected: (service, part) => (byPart.get(keyOf(service, part))?.losses.length ?? 0) > 0,
     findCulprit: () => {
-      const [culprit] = [...byPart.values()].filter(isCondemned).sort(compareCulprits);
+      const [culprit] = [...byPart.values()].filter(isIdentified).sort(compareCulprits);
       return culprit === undefined
         ? undefined
         : {
--- a/packages/quarantine/test/crash-evidence.test.ts
+++ b/packages/quarantine/test/crash-evidence.test.ts
@@ -1,11 +1,11 @@
-/** Decisions on parts of prompts, replayed from the load patterns of deadly parts and of ordinary crashes. */
+/** Decisions on parts of prompts, replayed from the load patterns of poison parts and of ordinary crashes. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createCrashEvidence, type CrashEvidence } from '@toucanbend/quarantine';
 
 const SERVICE = 'model';
 const SHARED = 'shared';
-const DEADLY = 'deadly';
+const POISON = 'poison';
 const INTERVAL_MS = 300;
 
 /** Records one crash: the attempts of these requests were lost, each given by its parts. */
@@ -26,12 +26,12 @@
 describe('a part of prompts that crashes each server that begins an answer', () => {
   it('is found by the third crash, and not the part that sound prompts share with it', () => {
     const evidence = createCrashEvidence();
-    crash(evidence, 1, [SHARED, DEADLY], [SHARED]);
-    crash(evidence, 2, [SHARED, DEADLY]);
+    crash(evidence, 1, [SHARED, POISON], [SHARED]);
+    crash(evidence, 2, [SHARED, POISON]);
     assert.equal(culprit(evidence), undefined);
-    crash(evidence, 3, [SHARED], [SHARED, DEADLY]);
-    assert.equal(culprit(evidence), DEADLY);
-    evidence.explain(SERVICE, DEADLY);
+    crash(evidence, 3, [SHARED], [SHARED, POISON]);
+    assert.equal(culprit(evidence), POISON);
+    evidence.explain(SERVICE, POISON);
     assert.equal(culprit(evidence), undefined);
   });
 
@@ -39,52 +39,52 @@
     const evidence = createCrashEvidence();
     for (const index of [1, 2, 3]) {
       evidence.served(SERVICE, ['other'], index * INTERVAL_MS);
-      crash(evidence, index, [DEADLY, 'other'], ['other']);
+      crash(evidence, index, [POISON, 'other'], ['other']);
     }
-    assert.equal(culprit(evidence), DEADLY);
+    assert.equal(culprit(evidence), POISON);
   });
 
   it('is found beside a second one', () => {
     const evidence = createCrashEvidence();
     for (const index of [1, 3, 5]) {
-      crash(evidence, index, [SHARED, DEADLY]);
+      crash(evidence, index, [SHARED, POISON]);
       crash(evidence, index + 1, [SHARED, 'second'], [SHARED]);
       evidence.served(SERVICE, [SHARED], (index + 1) * INTERVAL_MS);
     }
-    const found = [DEADLY, 'second'].map(() => {
+    const found = [POISON, 'second'].map(() => {
       const { service, part } = evidence.findCulprit() ?? { service: '', part: '' };
       evidence.explain(service, part);
       return part;
     });
-    assert.deepEqual(found.sort(), [DEADLY, 'second']);
+    assert.deepEqual(found.sort(), [POISON, 'second']);
     assert.equal(culprit(evidence), undefined);
   });
 
   it('is found after more crashes if it was served before', () => {
     const evidence = createCrashEvidence();
-    evidence.served(SERVICE, [DEADLY], 0);
+    evidence.served(SERVICE, [POISON], 0);
     const indices = Array.from({ length: 8 }, (_, index) => index + 1);
     indices.slice(0, 7).forEach((index) => {
-      crash(evidence, index, [DEADLY]);
+      crash(evidence, index, [POISON]);
     });
     assert.equal(culprit(evidence), undefined);
-    crash(evidence, 8, [DEADLY]);
-    assert.equal(culprit(evidence), DEADLY);
+    crash(evidence, 8, [POISON]);
+    assert.equal(culprit(evidence), POISON);
   });
 
   it('is found by its first crash after an earlier quarantine, also at another service', () => {
     const evidence = createCrashEvidence();
-    evidence.explain(SERVICE, DEADLY);
-    evidence.lost({ service: 'canary', server: 'c-1', request: 'r', parts: [SHARED, DEADLY], atMs: 0 });
+    evidence.explain(SERVICE, POISON);
+    evidence.lost({ service: 'canary', server: 'c-1', request: 'r', parts: [SHARED, POISON], atMs: 0 });
     assert.deepEqual(
       { service: evidence.findCulprit()?.service, part: culprit(evidence) },
-      { service: 'canary', part: DEADLY },
+      { service: 'canary', part: POISON },
     );
   });
 });
 
 describe('a sound part of prompts', () => {
-  it('is not condemned by a crash of many servers at once', () => {
+  it('is not identified by a crash of many servers at once', () => {
     const evidence = createCrashEvidence();
     for (let server = 0; server < 8; server += 1) {
       const id = String(server);
@@ -99,7 +99,7 @@
     assert.equal(culprit(evidence), undefined);
   });
 
-  it('is not condemned if it is served between crashes', () => {
+  it('is not identified if it is served between crashes', () => {
     const evidence = createCrashEvidence();
     for (let index = 1; index <= 20; index += 1) {
       crash(evidence, index, [SHARED]);
@@ -108,7 +108,7 @@
     assert.equal(culprit(evidence), undefined);
   });
 
-  it('is not condemned by one request that is sent again after each crash', () => {
+  it('is not identified by one request that is sent again after each crash', () => {
     const evidence = createCrashEvidence();
     for (const index of [1, 2, 3, 4]) {
       const atMs = index * INTERVAL_MS;
@@ -117,7 +117,7 @@
     assert.equal(culprit(evidence), undefined);
   });
 
-  it('is not condemned by several lost answers of a server that lives on', () => {
+  it('is not identified by several lost answers of a server that lives on', () => {
     const evidence = createCrashEvidence();
     for (let index = 1; index <= 5; index += 1) {
       evidence.lost({
@@ -131,12 +131,12 @@
     assert.equal(culprit(evidence), undefined);
   });
 
-  it('is not condemned by crashes that a quarantined part explains, whatever the order of the reports', () => {
+  it('is not identified by crashes that a quarantined part explains, whatever the order of the reports', () => {
     const evidence = createCrashEvidence();
-    evidence.explain(SERVICE, DEADLY);
+    evidence.explain(SERVICE, POISON);
     for (const index of [1, 2, 3, 4]) {
-      crash(evidence, index, [SHARED], [SHARED, DEADLY], [SHARED]);
-      evidence.explain(SERVICE, DEADLY);
+      crash(evidence, index, [SHARED], [SHARED, POISON], [SHARED]);
+      evidence.explain(SERVICE, POISON);
     }
     assert.equal(culprit(evidence), undefined);
   });
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -16,7 +16,7 @@
 const ignore = (): void => undefined;
 const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
 const SERVICE = 'model';
-const DEADLY = 'deadly';
+const POISON = 'poison';
 /** Longer than the delay of a decision. */
 const DECIDED_MS = 600;
 const CRASH_INTERVAL_MS = 300;
@@ -94,11 +94,11 @@
   it('is quarantined at all entries, though no entry has seen more than one of its crashes', async () => {
     const clock = createManualClock(1_000);
     const entries = startEntries(clock, 3);
-    crashThreeServers(clock, entries, DEADLY);
+    crashThreeServers(clock, entries, POISON);
     clock.advance(DECIDED_MS);
     await Promise.resolve();
     assert.deepEqual(
-      entries.map((entry) => isQuarantined(entry, DEADLY)),
+      entries.map((entry) => isQuarantined(entry, POISON)),
       [true, true, true],
     );
     assert.deepEqual(
@@ -112,40 +112,40 @@
     const clock = createManualClock(1_000);
     const entry = startEntry(clock);
     entry.isStoreUp = false;
-    crashThreeServers(clock, [entry], DEADLY);
+    crashThreeServers(clock, [entry], POISON);
     clock.advance(DECIDED_MS);
     await Promise.resolve();
     entry.isStoreUp = true;
     entry.quarantine.prune();
     assert.deepEqual(
       entry.published.map(({ part }) => part),
-      [DEADLY],
+      [POISON],
     );
   });
 
   it('stays quarantined after a restart that reads it from the store, until its time has passed', () => {
     const clock = createManualClock(1_000);
     const entry = startEntry(clock);
-    entry.quarantine.restore({ service: SERVICE, part: DEADLY, untilMs: 1_000 + TEN_MINUTES_MS });
-    assert.deepEqual(entry.quarantine.find(SERVICE, ['shared', DEADLY]), {
-      part: DEADLY,
+    entry.quarantine.restore({ service: SERVICE, part: POISON, untilMs: 1_000 + TEN_MINUTES_MS });
+    assert.deepEqual(entry.quarantine.find(SERVICE, ['shared', POISON]), {
+      part: POISON,
       leftMs: TEN_MINUTES_MS,
     });
-    assert.equal(entry.quarantine.find('another', [DEADLY]), undefined);
+    assert.equal(entry.quarantine.find('another', [POISON]), undefined);
     clock.advance(TEN_MINUTES_MS);
     entry.quarantine.prune();
-    assert.equal(isQuarantined(entry, DEADLY), false);
+    assert.equal(isQuarantined(entry, POISON), false);
     assert.deepEqual(
       entry.withdrawn.map(({ part }) => part),
-      [DEADLY],
+      [POISON],
     );
   });
 
   it('is released when an operator removes it from the store', () => {
     const entry = startEntry(createManualClock(1_000));
-    entry.quarantine.restore({ service: SERVICE, part: DEADLY, untilMs: TEN_MINUTES_MS });
-    entry.quarantine.release({ service: SERVICE, part: DEADLY });
-    assert.equal(isQuarantined(entry, DEADLY), false);
+    entry.quarantine.restore({ service: SERVICE, part: POISON, untilMs: TEN_MINUTES_MS });
+    entry.quarantine.release({ service: SERVICE, part: POISON });
+    assert.equal(isQuarantined(entry, POISON), false);
   });
 });
 
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -327,7 +327,7 @@
     tests: 'unframed-answer.test',
   },
   {
-    promise: 'deadly parts of prompts',
+    promise: 'poison parts of prompts',
     mistake: 'requests with a quarantined part are forwarded',
     file: 'packages/forwarding/src/forward.ts',
     from: 'if (quarantined !== undefined) {',
@@ -335,15 +335,15 @@
     tests: 'forwarding/test/quarantine.test',
   },
   {
-    promise: 'deadly parts of prompts',
-    mistake: 'parts that were served are condemned as soon as others',
+    promise: 'poison parts of prompts',
+    mistake: 'parts that were served are identified as soon as others',
     file: 'packages/quarantine/src/crash-evidence.ts',
     from: 'evidence.servedAtMs === undefined ? UNSERVED_THRESHOLD : SERVED_THRESHOLD',
     to: 'UNSERVED_THRESHOLD',
     tests: 'packages/quarantine',
   },
   {
-    promise: 'deadly parts of prompts',
+    promise: 'poison parts of prompts',
     mistake: 'a crash that a quarantined part explains counts against other parts',
     file: 'packages/quarantine/src/crash-evidence.ts',
     from: 'other.losses = other.losses.filter((loss) => !isExplained(loss));',
