--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -123,8 +123,8 @@
   }
 
   /**
-   * Waits for half to all of `waitMs`, chosen at random, or until the caller disconnects or a part is quarantined. Returns
-   * whether the caller disconnected.
+   * Waits for a random time between half and all of `waitMs`, or until the caller disconnects or a part is quarantined.
+   * Returns whether the caller disconnected.
    */
   *#wait(waitMs: number): ProcessBody<boolean> {
     const { clock, random } = this.#context;
