Log what backend servers state in their answers: rate limit, leaving, back-off

The dialect decodes Server-Limit, Server-Leaving and the Retry-After of a 503 into one notice, and each answer with a notice is logged with the id of its request; invalid values are logged and have no other effect. No decision depends on a notice yet. Tests of the dialect and of forwarding pass.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -2,6 +2,7 @@
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import { type Socket } from 'node:net';
 import { type Clock } from '@toucanbend/core';
+import { type ServerNotice } from '@toucanbend/restrictions';
 import { type AnswerHead, type Dialect, type RawHeaders } from './dialect.js';
 import { endToEndHeaders, headersByName } from './headers.js';
 
@@ -67,6 +68,8 @@
   readonly clock: Clock;
   readonly dialect: Dialect;
   readonly report: (event: AttemptEvent) => void;
+  /** Called with what the server states in the head of its answer, before the events of the answer. */
+  readonly onNotice: (notice: ServerNotice) => void;
 }
 
 /** A running attempt. */
@@ -170,6 +173,9 @@
   message: IncomingMessage,
 ): void {
   const start = readAnswerStart(options, message);
+  if (start.requestId === options.requestId && !reporter.isFinished) {
+    options.onNotice(start.notice);
+  }
   const body = coalesceBody(reporter);
   message.on('error', (error) => {
     body.flush();
--- a/packages/forwarding/src/dialect.ts
+++ b/packages/forwarding/src/dialect.ts
@@ -1,5 +1,6 @@
 /** Interfaces to the headers of callers and backend servers, which differ between deployments. */
 import { type IncomingHttpHeaders } from 'node:http';
+import { type ServerNotice } from '@toucanbend/restrictions';
 
 /** The properties of a prompt that its caller states in the headers. */
 export interface PromptHead {
@@ -54,6 +55,8 @@
   readonly isNotRun: boolean;
   /** Address (`host:port`) of the server because of which the request was not run; undefined if the answer names none. */
   readonly faultyAddress: string | undefined;
+  /** What the server states about the requests that it accepts. */
+  readonly notice: ServerNotice;
 }
 
 /** Header names and values in the order of transmission: names at even indices, values at odd ones. */
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -4,6 +4,7 @@
 import { type Attempt, type AttemptEvent, startAttempt } from './attempt.js';
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
+import { logNotice } from './notice-log.js';
 
 /** The parameters of one attempt. */
 export interface DispatchOptions {
@@ -23,17 +24,17 @@
 /**
  * Starts an attempt.
  *
- * @param context - the clock and the dialect
+ * @param context - the clock, the dialect and the logger
  * @param request - the caller's request
  * @param dispatch - the server, and the parameters of this attempt
  * @returns the running attempt
  */
 export function dispatchAttempt(
-  context: Pick<ForwardingContext, 'clock' | 'dialect'>,
+  context: Pick<ForwardingContext, 'clock' | 'dialect' | 'logger'>,
   request: CallerRequest,
   dispatch: DispatchOptions,
 ): Attempt {
-  const { clock, dialect } = context;
+  const { clock, dialect, logger } = context;
   const { head, method, path, body, account, rank } = request;
   const { server, helpers, reservation, lastEventId, timeLeftMs, report } = dispatch;
   const headers = dialect.writeAttempt(request.headers, {
@@ -60,5 +61,8 @@
     clock,
     dialect,
     report,
+    onNotice: (notice) => {
+      logNotice(logger, head.requestId, server, notice);
+    },
   });
 }
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -23,6 +23,7 @@
   type Route,
   ServerState,
 } from '@toucanbend/registry';
+import { UNLIMITED } from '@toucanbend/restrictions';
 import { ok } from 'neverthrow';
 import { Registry as MetricsRegistry } from 'prom-client';
 
@@ -74,6 +75,12 @@
     isSigned: headers.signature !== undefined,
     isNotRun: headers['not-run'] !== undefined,
     faultyAddress: headers['at-fault'] === undefined ? undefined : String(headers['at-fault']),
+    notice: {
+      limitPerSecond: headers.limit === undefined ? UNLIMITED : Number(headers.limit),
+      isLeaving: headers.leaving !== undefined,
+      backOffMs: headers['back-off-ms'] === undefined ? undefined : Number(headers['back-off-ms']),
+      invalid: [],
+    },
   }),
 };
 
--- /dev/null
+++ b/packages/restrictions/src/index.ts
@@ -0,0 +1,2 @@
+/** Restrictions that backend servers state in their answers. */
+export * from './server-notice.js';
