--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -9,7 +9,12 @@
   type ForwardingContext,
 } from '@toucanbend/forwarding';
 import { type DecisionLine, type Logger } from '@toucanbend/observability';
-import { createLoadTracker, createRetryBudget, type LoadUpdate } from '@toucanbend/placement';
+import {
+  applyLoadUpdate,
+  createLoadTracker,
+  createRetryBudget,
+  type LoadUpdate,
+} from '@toucanbend/placement';
 import { createQuarantine } from '@toucanbend/quarantine';
 import {
   AnswerForm,
@@ -141,6 +146,8 @@
   readonly decisions: DecisionLine[];
   /** The load updates that the other entries would receive. */
   readonly updates: readonly LoadUpdate[];
+  /** Handles a load update of another entry. */
+  receive(from: string, update: LoadUpdate): void;
   readonly callerPort: CallerPort;
   startDraining(): void;
   stopAccepting(): void;
@@ -175,6 +182,10 @@
   /** Whether requests wait until the test sets a catalogue. */
   readonly waitsForCatalogue?: boolean;
   readonly memory?: EngineMemory;
+  /** Name of this entry. */
+  readonly entry?: string;
+  /** Called with each load update for the other entries. */
+  readonly onUpdate?: (update: LoadUpdate) => void;
 }
 
 /**
@@ -193,6 +204,8 @@
     clock = createSystemClock(),
     waitsForCatalogue = false,
     memory = noMemory,
+    entry = 'entry-1',
+    onUpdate = () => undefined,
   } = options;
   const decisions: DecisionLine[] = [];
   const updates: LoadUpdate[] = [];
@@ -222,7 +235,7 @@
     logger: createRecordingLogger(decisions),
     metrics: createForwardingMetrics(new MetricsRegistry()),
     dialect: testDialect,
-    planner: { entry: 'entry-1', dataCentre: 'bagmati-a', crossRoundTripMs: 7 },
+    planner: { entry, dataCentre: 'bagmati-a', crossRoundTripMs: 7 },
     loadTracker: createLoadTracker(),
     retries: createRetryBudget({ ratio: 0.2, allowance: 100, windowMs: 10_000 }),
     memory,
@@ -233,7 +246,10 @@
     isDraining: () => isLeaving,
     acceptsRequests: () => takesRequests,
     hasPartialLoadView: () => false,
-    broadcast: (update) => updates.push(update),
+    broadcast: (update) => {
+      updates.push(update);
+      onUpdate(update);
+    },
     quarantine,
   };
   const callerPort = createCallerPort(context);
@@ -242,6 +258,9 @@
     port,
     decisions,
     updates,
+    receive: (from, update) => {
+      applyLoadUpdate(context.loadTracker, from, update, () => undefined, clock.now());
+    },
     callerPort,
     stopAccepting: () => {
       takesRequests = false;
