Entries share the rate limit that a server states

Each entry counts the requests of all entries at a server with a limit, from the load updates that entries send one another anyway, and places a prompt, a part of one or a call there only while the limit allows it; retries and the other servers of a group count too. Entries take turns, so that few decide on the same request within the time that an update takes; what is sent in excess delays the following requests. An entry that is cut off keeps to its part, one that starts gets the limits and what is used of them from those it is linked to. A limit ends with an answer that does not state it to a request that was sent later. If no server accepts a request, it waits for an eighth of its target at most, else it is rejected at once with the time at which the next one is accepted.

The notices of single answers are no longer logged, but each change of a limit is.

--- a/measure/scenarios/placement-cost.ts
+++ b/measure/scenarios/placement-cost.ts
@@ -87,6 +87,7 @@
   const inputs = {
     registry: createRegistry(engines),
     loadTracker: createLoad(engines, createRandom(seed)),
+    restrictions: { availableAtMs: () => Number.NEGATIVE_INFINITY },
     settings: { entry: 'entry-1', dataCentre: 'dc-0', crossRoundTripMs: 8 },
     mayWait: true,
     hasPartialLoadView: false,
--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -16,6 +16,8 @@
   NoServer = 'no_server',
   TooLate = 'too_late',
   BeyondMemory = 'beyond_memory',
+  /** No server of the service accepts a request now. */
+  Restricted = 'restricted',
   AttemptsUsed = 'attempts_used',
   DeadlinePassed = 'deadline_passed',
   CallerGone = 'caller_gone',
@@ -33,6 +35,7 @@
   [RejectionReason.NoServer]: EndReason.NoServer,
   [RejectionReason.TooLate]: EndReason.TooLate,
   [RejectionReason.BeyondMemory]: EndReason.BeyondMemory,
+  [RejectionReason.Restricted]: EndReason.Restricted,
 };
 
 /**
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -9,6 +9,7 @@
 } from '@toucanbend/placement';
 import { type Quarantine } from '@toucanbend/quarantine';
 import { type Registry } from '@toucanbend/registry';
+import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { type Dialect } from './dialect.js';
 import { type EngineMemory } from './memory.js';
 import { type ForwardingMetrics } from './metrics.js';
@@ -23,6 +24,7 @@
   readonly dialect: Dialect;
   readonly planner: PlannerSettings;
   readonly loadTracker: LoadTracker;
+  readonly restrictions: ServerRestrictions;
   readonly retries: RetryBudget;
   readonly quarantine: Quarantine;
   readonly memory: EngineMemory;
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -4,7 +4,6 @@
 import { type Attempt, type AttemptEvent, startAttempt } from './attempt.js';
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
-import { logNotice } from './notice-log.js';
 
 /** The parameters of one attempt. */
 export interface DispatchOptions {
@@ -24,17 +23,17 @@
 /**
  * Starts an attempt.
  *
- * @param context - the clock, the dialect and the logger
+ * @param context - the clock, the dialect and the restrictions of the servers
  * @param request - the caller's request
  * @param dispatch - the server, and the parameters of this attempt
  * @returns the running attempt
  */
 export function dispatchAttempt(
-  context: Pick<ForwardingContext, 'clock' | 'dialect' | 'logger'>,
+  context: Pick<ForwardingContext, 'clock' | 'dialect' | 'restrictions'>,
   request: CallerRequest,
   dispatch: DispatchOptions,
 ): Attempt {
-  const { clock, dialect, logger } = context;
+  const { clock, dialect, restrictions } = context;
   const { head, method, path, body, account, rank } = request;
   const { server, helpers, reservation, lastEventId, timeLeftMs, report } = dispatch;
   const headers = dialect.writeAttempt(request.headers, {
@@ -49,6 +48,7 @@
       reservation: helper.keepsPart ? reservation : undefined,
     })),
   });
+  const sentAtMs = clock.now();
   return startAttempt({
     host: server.host,
     port: server.port,
@@ -62,7 +62,7 @@
     dialect,
     report,
     onNotice: (notice) => {
-      logNotice(logger, head.requestId, server, notice);
+      restrictions.stated(server, notice, { requestId: head.requestId, sentAtMs });
     },
   });
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -139,10 +139,11 @@
   }
 
   #plannerInputs(options: Pick<PlannerInputs, 'mayWait' | 'replacesAttempt'>): PlannerInputs {
-    const { registry, loadTracker, planner: settings, hasPartialLoadView } = this.#context;
+    const { registry, loadTracker, restrictions, planner: settings, hasPartialLoadView } = this.#context;
     return {
       registry: registry(),
       loadTracker,
+      restrictions,
       settings,
       hasPartialLoadView: hasPartialLoadView(),
       ...options,
--- a/packages/forwarding/src/placed-shares.ts
+++ b/packages/forwarding/src/placed-shares.ts
@@ -6,19 +6,20 @@
 /**
  * Records work that is about to be sent to servers.
  *
- * @param context - the load tracker and the broadcast to the other entries
+ * @param context - the load tracker, the restrictions of the servers and the broadcast to the other entries
  * @param engine - engine parameters of the servers; undefined for plain services
  * @param shares - the part of the work at each server
  */
 export function recordPlacedShares(
-  context: Pick<ForwardingContext, 'loadTracker' | 'clock' | 'planner' | 'broadcast'>,
+  context: Pick<ForwardingContext, 'loadTracker' | 'restrictions' | 'clock' | 'planner' | 'broadcast'>,
   engine: Service['engine'],
   shares: readonly JobShare[],
 ): void {
-  const { loadTracker, clock, planner, broadcast } = context;
+  const { loadTracker, restrictions, clock, planner, broadcast } = context;
   const atMs = clock.now();
   for (const { server, job } of shares) {
     loadTracker.placed(planner.entry, server.id, engine, job, atMs);
+    restrictions.countRequest(server.id, atMs);
     broadcast({ kind: LoadUpdateKind.Placed, server: server.id, job, atMs });
   }
 }
--- a/packages/forwarding/test/support/fleet.ts
+++ b/packages/forwarding/test/support/fleet.ts
@@ -21,6 +21,12 @@
     const gateway = await startTestGateway(ports, {
       ...options,
       entry,
+      entries: count,
+      onRestriction: (update) => {
+        others().forEach((other) => {
+          other.receiveRestriction(update);
+        });
+      },
       onUpdate: (update) => {
         others().forEach((other) => {
           other.receive(entry, update);
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -28,7 +28,7 @@
   type Route,
   ServerState,
 } from '@toucanbend/registry';
-import { UNLIMITED } from '@toucanbend/restrictions';
+import { createServerRestrictions, type RestrictionUpdate, UNLIMITED } from '@toucanbend/restrictions';
 import { ok } from 'neverthrow';
 import { Registry as MetricsRegistry } from 'prom-client';
 
@@ -148,6 +148,8 @@
   readonly updates: readonly LoadUpdate[];
   /** Handles a load update of another entry. */
   receive(from: string, update: LoadUpdate): void;
+  /** Handles another entry's update about a restriction of a server. */
+  receiveRestriction(update: RestrictionUpdate): void;
   readonly callerPort: CallerPort;
   startDraining(): void;
   stopAccepting(): void;
@@ -186,6 +188,10 @@
   readonly entry?: string;
   /** Called with each load update for the other entries. */
   readonly onUpdate?: (update: LoadUpdate) => void;
+  /** Called with each update about a restriction of a server for the other entries. */
+  readonly onRestriction?: (update: RestrictionUpdate) => void;
+  /** Number of entries that share the limits of servers. */
+  readonly entries?: number;
 }
 
 /**
@@ -206,6 +212,8 @@
     memory = noMemory,
     entry = 'entry-1',
     onUpdate = () => undefined,
+    onRestriction = () => undefined,
+    entries = 1,
   } = options;
   const decisions: DecisionLine[] = [];
   const updates: LoadUpdate[] = [];
@@ -229,6 +237,13 @@
     publish: () => Promise.resolve(true),
     withdraw: () => undefined,
   });
+  const restrictions = createServerRestrictions({
+    entry,
+    clock,
+    logger: createRecordingLogger(decisions),
+    share: () => ({ fraction: 1, entries }),
+    broadcast: onRestriction,
+  });
   const context: ForwardingContext = {
     clock,
     random: createRandom(1),
@@ -237,6 +252,7 @@
     dialect: testDialect,
     planner: { entry, dataCentre: 'bagmati-a', crossRoundTripMs: 7 },
     loadTracker: createLoadTracker(),
+    restrictions,
     retries: createRetryBudget({ ratio: 0.2, allowance: 100, windowMs: 10_000 }),
     memory,
     memoryBounds: { maxReleaseDelayMs: 4_000, maxUnusedMs: 9_000 },
@@ -259,8 +275,9 @@
     decisions,
     updates,
     receive: (from, update) => {
-      applyLoadUpdate(context.loadTracker, from, update, () => undefined, clock.now());
+      applyLoadUpdate(context.loadTracker, restrictions, from, update, () => undefined, clock.now());
     },
+    receiveRestriction: restrictions.receive.bind(restrictions),
     callerPort,
     stopAccepting: () => {
       takesRequests = false;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -8,6 +8,7 @@
   readonly knownEntries: () => number;
   readonly readyServers: () => number;
   readonly quarantinedParts: () => number;
+  readonly limitedServers: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -28,6 +29,7 @@
     'toucanbend_quarantined_parts',
     'Parts of prompts that are rejected because they crash backend servers.',
   ],
+  limitedServers: ['toucanbend_limited_servers', 'Backend servers that state a rate limit.'],
   catalogueVersion: [
     'toucanbend_catalogue_version',
     'Version of the configuration in force; 0 before the first.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
   createRegistryHolder,
   createStoreHealth,
   isReader,
+  limitShareOf,
   type WatchSettings,
 } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
@@ -34,6 +35,7 @@
   RecordKind,
   type RegistrySource,
 } from '@toucanbend/registry';
+import { createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
 import { Registry as MetricsRegistry } from 'prom-client';
 import { logRegistryChanges, readyServers, describeRegistry } from './registry-report.js';
 import { drainRequests } from './drain.js';
@@ -134,6 +136,21 @@
       }
     },
   });
+  const endedEntries = new Set<string>();
+  const restrictions: ServerRestrictions = createServerRestrictions({
+    entry: member.name,
+    clock,
+    logger,
+    share: () => {
+      const registered = listEntries(holder.current())
+        .map(({ name }) => name)
+        .filter((name) => name !== member.name);
+      return limitShareOf({ registered, linked: new Set(peers.linkedEntries()), ended: endedEntries });
+    },
+    broadcast: (update) => {
+      peers.broadcastRestriction(update);
+    },
+  });
   const peers = createPeers({
     member,
     incarnation: randomUUID(),
@@ -145,11 +162,16 @@
     logger,
     isStoreReachable: storeHealth.isReachable,
     onLoadUpdate: (from, update) => {
-      applyLoadUpdate(loadTracker, from, update, engineOf, clock.now());
+      applyLoadUpdate(loadTracker, restrictions, from, update, engineOf, clock.now());
     },
     onQuarantineUpdate: quarantine.receive.bind(quarantine),
     quarantinedParts: quarantine.list.bind(quarantine),
-    onProcessEnded: loadTracker.dropOwner,
+    onRestrictionUpdate: restrictions.receive.bind(restrictions),
+    restrictions: restrictions.list.bind(restrictions),
+    onProcessEnded: (name) => {
+      endedEntries.add(name);
+      loadTracker.dropOwner(name);
+    },
     onUnreachable: loadTracker.markUnreachable,
   });
   let resolveConfigured = (): void => undefined;
@@ -171,6 +193,7 @@
       crossRoundTripMs: CROSS_DATA_CENTRE_RTT_MS,
     },
     loadTracker,
+    restrictions,
     retries: createRetryBudget(options.retryBound),
     quarantine,
     registry: holder.current,
@@ -221,6 +244,7 @@
     knownEntries: () => listEntries(holder.current()).length,
     readyServers: () => readyServers(holder.current()).length,
     quarantinedParts: () => quarantine.list().length,
+    limitedServers: restrictions.limitedCount.bind(restrictions),
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
     storeAnswers: () => (storeHealth.isReachable() ? 1 : 0),
     storeCalls: () => storeHealth.counts().calls,
@@ -231,7 +255,9 @@
   await peers.start();
   registrar.start();
   const prune = (): void => {
-    loadTracker.prune(new Set(listServers(holder.current()).map((server) => server.id)), clock.now());
+    const registered = new Set(listServers(holder.current()).map((server) => server.id));
+    loadTracker.prune(registered, clock.now());
+    restrictions.prune(registered);
     quarantine.prune();
     clock.after(PRUNE_INTERVAL_MS, prune);
   };
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -23,6 +23,11 @@
   type RegistryRecord,
   type Revisions,
 } from '@toucanbend/registry';
+import {
+  decodeRestrictionUpdate,
+  encodeRestrictionUpdate,
+  type RestrictionUpdate,
+} from '@toucanbend/restrictions';
 import {
   createLinkPool,
   createLinkTraffic,
@@ -46,6 +51,8 @@
   broadcast(update: LoadUpdate): void;
   /** Sends an update about quarantined parts to all other entries, in the same frames. */
   broadcastQuarantine(update: QuarantineUpdate): void;
+  /** Sends an update about restrictions of servers to all other entries, in the same frames. */
+  broadcastRestriction(update: RestrictionUpdate): void;
   /**
    * Sends a digest of this entry's newest record revisions to all other entries after a short random delay. Further
    * calls during the delay have no effect.
@@ -54,6 +61,8 @@
   /** Sends the same digest to a few random entries at once, so that they pull the records they lack. */
   announceToRandomPeers(): void;
   linkCount(): number;
+  /** Returns the names of the linked entries. */
+  linkedEntries(): string[];
   /** Returns the names of the linked entries that have not reported the store as unreachable. */
   peersReachingStore(): string[];
 }
@@ -75,6 +84,9 @@
   readonly onQuarantineUpdate: (update: QuarantineUpdate) => void;
   /** Returns the quarantined parts in force, which are sent to each entry that is linked. */
   readonly quarantinedParts: () => readonly QuarantinedPart[];
+  readonly onRestrictionUpdate: (update: RestrictionUpdate) => void;
+  /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
+  readonly restrictions: () => readonly RestrictionUpdate[];
   /** Called when the process of an entry has ended, or a new process has taken its place. */
   readonly onProcessEnded: (name: string) => void;
   /** Called when a link fails without being closed by the peer, whose process may still be running. */
@@ -176,6 +188,10 @@
     this.#queue((nowMs) => encodeQuarantineUpdate(update, nowMs));
   }
 
+  broadcastRestriction(update: RestrictionUpdate): void {
+    this.#queue((nowMs) => encodeRestrictionUpdate(update, nowMs));
+  }
+
   #queue(encode: (nowMs: number) => unknown[]): void {
     this.#pendingUpdates.push(encode);
     if (this.#pendingUpdates.length === 1) {
@@ -211,6 +227,10 @@
     return this.#dialled.size;
   }
 
+  linkedEntries(): string[] {
+    return [...this.#dialled.keys()];
+  }
+
   peersReachingStore(): string[] {
     return [...this.#dialled.keys()].filter((name) => !this.#withoutStore.has(name));
   }
@@ -319,7 +339,7 @@
       }
     });
     this.#sendDigest([link]);
-    this.#sendQuarantinedParts(link);
+    this.#sendState(link);
   }
 
   #addAccepted(link: Link): void {
@@ -331,6 +351,7 @@
     this.#receiveFrames(link);
     // This entry may not dial a peer that is not registered yet, so the peer receives its digest on the accepted link.
     this.#sendDigest([link]);
+    this.#sendState(link);
     // A peer that has just started is dialled now instead of at the next periodic check.
     this.#dialMissing();
   }
@@ -342,7 +363,7 @@
   }
 
   #applyUpdate(link: Link, change: unknown, nowMs: number): void {
-    const { onLoadUpdate, onQuarantineUpdate } = this.#options;
+    const { onLoadUpdate, onQuarantineUpdate, onRestrictionUpdate } = this.#options;
     const loadUpdate = decodeLoadUpdate(change, nowMs);
     if (loadUpdate !== undefined) {
       onLoadUpdate(link.peer.node, loadUpdate);
@@ -351,14 +372,24 @@
     const quarantineUpdate = decodeQuarantineUpdate(change, nowMs);
     if (quarantineUpdate !== undefined) {
       onQuarantineUpdate(quarantineUpdate);
+      return;
+    }
+    const restrictionUpdate = decodeRestrictionUpdate(change, nowMs);
+    if (restrictionUpdate !== undefined) {
+      onRestrictionUpdate(restrictionUpdate);
     }
   }
 
-  #sendQuarantinedParts(link: Link): void {
-    const { clock, quarantinedParts } = this.#options;
-    const changes = quarantinedParts().map((quarantined) =>
-      encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, clock.now()),
-    );
+  /** Sends what an entry that has just started, or was cut off, needs to know besides the registry. */
+  #sendState(link: Link): void {
+    const { clock, quarantinedParts, restrictions } = this.#options;
+    const nowMs = clock.now();
+    const changes = [
+      ...quarantinedParts().map((quarantined) =>
+        encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, nowMs),
+      ),
+      ...restrictions().map((update) => encodeRestrictionUpdate(update, nowMs)),
+    ];
     if (changes.length > 0) {
       link.send({ type: FrameType.LoadUpdates, changes });
     }
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -14,6 +14,7 @@
   type RegistryRecord,
   ServerState,
 } from '@toucanbend/registry';
+import { type RestrictionUpdate, RestrictionUpdateKind } from '@toucanbend/restrictions';
 
 const ignore = (): void => undefined;
 const logger: Logger = { decision: ignore, info: ignore, warn: ignore, error: ignore, explain: () => [] };
@@ -44,6 +45,10 @@
   readonly quarantineUpdates: readonly QuarantineUpdate[];
   /** Resolves with the first such update. */
   readonly whenUpdated: Promise<void>;
+  /** Updates about restrictions of servers, in order of receipt. */
+  readonly restrictionUpdates: readonly RestrictionUpdate[];
+  /** Resolves with the first such update. */
+  readonly whenRestricted: Promise<void>;
   /** Resolves once a condition on the registry is met. */
   until(isMet: () => boolean): Promise<void>;
 }
@@ -54,10 +59,16 @@
   readonly seeds: readonly string[];
   readonly isStoreReachable: boolean;
   readonly quarantined?: readonly QuarantinedPart[];
+  readonly restrictions?: readonly RestrictionUpdate[];
 }
 
 async function startEntry(options: EntryOptions): Promise<Entry> {
-  const { member, incarnation, seeds, isStoreReachable, quarantined = [] } = options;
+  const { member, incarnation, seeds, isStoreReachable, quarantined = [], restrictions = [] } = options;
+  const restrictionUpdates: RestrictionUpdate[] = [];
+  let resolveRestriction = ignore;
+  const whenRestricted = new Promise<void>((resolve) => {
+    resolveRestriction = resolve;
+  });
   const quarantineUpdates: QuarantineUpdate[] = [];
   let resolveUpdate = ignore;
   const whenUpdated = new Promise<void>((resolve) => {
@@ -85,6 +96,11 @@
       resolveUpdate();
     },
     quarantinedParts: () => quarantined,
+    onRestrictionUpdate: (update) => {
+      restrictionUpdates.push(update);
+      resolveRestriction();
+    },
+    restrictions: () => restrictions,
     onProcessEnded: (name) => {
       gone.push(name);
       resolveEnded();
@@ -103,7 +119,17 @@
             }
           });
         });
-  return { peers, holder, gone, whenEnded, quarantineUpdates, whenUpdated, until };
+  return {
+    peers,
+    holder,
+    gone,
+    whenEnded,
+    quarantineUpdates,
+    whenUpdated,
+    restrictionUpdates,
+    whenRestricted,
+    until,
+  };
 }
 
 function server(id: string, revision: number): RegistryRecord {
@@ -168,6 +194,40 @@
     ]);
   });
 
+  it('tell an entry that has restarted which servers state a rate limit, whichever side dials', async () => {
+    const addresses = await Promise.all([freeAddress(), freeAddress()]);
+    const limit: RestrictionUpdate = {
+      kind: RestrictionUpdateKind.Limit,
+      server: 's1',
+      bornAtMs: 5,
+      perSecond: 1.5,
+      statedAtMs: 0,
+      usedUntilMs: 1_000,
+    };
+    for (const dialling of [0, 1]) {
+      const [first = '', second = ''] = addresses;
+      const common = { isStoreReachable: false };
+      const restarted = await startEntry({
+        member: { name: `restarted-${String(dialling)}`, address: second, dataCentre: 'bagmati-a' },
+        incarnation: 'i2',
+        seeds: dialling === 0 ? [first] : [],
+        ...common,
+      });
+      const other = await startEntry({
+        member: { name: 'other', address: first, dataCentre: 'bagmati-a' },
+        incarnation: 'i1',
+        seeds: dialling === 1 ? [second] : [],
+        restrictions: [limit],
+        ...common,
+      });
+      await restarted.whenRestricted;
+      const [received] = restarted.restrictionUpdates;
+      assert.deepEqual([received?.server, received?.bornAtMs, received?.perSecond], ['s1', 5, 1.5]);
+      restarted.peers.stop();
+      other.peers.stop();
+    }
+  });
+
   it('report by a new incarnation that a process has ended whose end no link reported', async () => {
     const addresses = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
     const [readerAddress = '', first = '', second = ''] = addresses;
--- a/packages/placement/src/load-update.ts
+++ b/packages/placement/src/load-update.ts
@@ -3,6 +3,7 @@
  * flat arrays.
  */
 import { type EngineParameters, PartRole, type PromptPart } from '@toucanbend/engine-model';
+import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { z } from 'zod';
 import { type Job } from './job.js';
 import { type LoadTracker } from './load-tracker.js';
@@ -140,9 +141,10 @@
 }
 
 /**
- * Records a load update of another entry in the load tracker.
+ * Records a load update of another entry.
  *
  * @param tracker - the load tracker to change
+ * @param restrictions - counts the requests of the other entry
  * @param sender - name of the entry that sent the update
  * @param update - the received update
  * @param engineOf - returns the parameters of a service's engines, or undefined for plain services
@@ -150,6 +152,7 @@
  */
 export function applyLoadUpdate(
   tracker: LoadTracker,
+  restrictions: Pick<ServerRestrictions, 'countRequest'>,
   sender: string,
   update: LoadUpdate,
   engineOf: (service: string) => EngineParameters | undefined,
@@ -158,6 +161,7 @@
   switch (update.kind) {
     case LoadUpdateKind.Placed:
       tracker.placed(sender, update.server, engineOf(update.job.service), update.job, update.atMs);
+      restrictions.countRequest(update.server, update.atMs);
       break;
     case LoadUpdateKind.Ended:
       tracker.ended(update.server, update.jobId);
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -1,6 +1,7 @@
 /** Chooses the server of a request, delays the request or rejects it, based on the registry and the load tracker. */
 import { type EngineParameters, type Generation, slowEngine } from '@toucanbend/engine-model';
 import { type BackendServer, type Registry, type Service } from '@toucanbend/registry';
+import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
 import { LATE_LOSS } from './engine-choice.js';
 import { USABLE_MEMORY_SHARE } from './engine-group.js';
@@ -15,7 +16,7 @@
   Send = 'send',
   /** Every placement costs too much or lacks memory now, and there is time to wait for a better one. */
   Wait = 'wait',
-  /** No server is registered, none has enough memory, or none can answer before the deadline. */
+  /** No server is registered or accepts requests, none has enough memory, or none can answer before the deadline. */
   Reject = 'refuse',
 }
 
@@ -23,6 +24,8 @@
   NoServer = 'no_server',
   TooLate = 'too_late',
   BeyondMemory = 'beyond_memory',
+  /** No server accepts a request now, by what the servers stated. */
+  Restricted = 'restricted',
 }
 
 export type PlacementDecision =
@@ -49,6 +52,7 @@
 export interface PlannerInputs {
   readonly registry: Registry;
   readonly loadTracker: LoadTracker;
+  readonly restrictions: Pick<ServerRestrictions, 'availableAtMs'>;
   readonly settings: PlannerSettings;
   /** Whether a job may wait for a cheaper placement; a process that is about to exit places jobs immediately. */
   readonly mayWait: boolean;
@@ -234,10 +238,31 @@
   return { kind: DecisionKind.Send, server, helpers, expectedMs, cost };
 }
 
+/**
+ * Share of a job's target time for which it waits, since its arrival, for a server that accepts no request yet. A job that
+ * would wait longer is rejected at once, so that jobs do not queue up for more requests than the servers accept.
+ */
+const RESTRICTED_WAIT_SHARE = 0.125;
+
+/** Delays or rejects a job for which no server accepts a request now. */
+function planRestricted(
+  servers: readonly ReadyServer[],
+  job: Job,
+  { restrictions, mayWait }: PlannerInputs,
+  nowMs: number,
+): PlacementDecision {
+  const availableAtMs = Math.min(...servers.map(({ server }) => restrictions.availableAtMs(server)));
+  const waitEndsAtMs = job.arrivedAtMs + RESTRICTED_WAIT_SHARE * job.targetMs;
+  return mayWait && availableAtMs <= waitEndsAtMs
+    ? { kind: DecisionKind.Wait, waitMs: availableAtMs - nowMs, cost: jobValue(job) }
+    : reject(RejectionReason.Restricted, availableAtMs - nowMs);
+}
+
 /**
  * Decides whether a job is sent to a server, waits, or is rejected.
  *
- * Servers with recent failures are used only if the service has no others.
+ * Servers with recent failures are used only if the service has no others. A server that accepts no request now is not
+ * used at all, also not for a part of a prompt.
  *
  * @param job - the job to place
  * @param service - the service that the job's route names
@@ -255,8 +280,12 @@
 ): PlacementDecision {
   const ready = readyServers(inputs.registry, service.name, inputs.settings);
   const serving = excluded.size === 0 ? ready : ready.filter(({ server }) => !excluded.has(server.id));
-  const eligible = serving.filter(({ server }) => isEligible(inputs.loadTracker.load(server.id), nowMs));
-  const servers = eligible.length > 0 ? eligible : serving;
+  const accepting = serving.filter(({ server }) => inputs.restrictions.availableAtMs(server) <= nowMs);
+  if (accepting.length === 0 && serving.length > 0) {
+    return planRestricted(serving, job, inputs, nowMs);
+  }
+  const eligible = accepting.filter(({ server }) => isEligible(inputs.loadTracker.load(server.id), nowMs));
+  const servers = eligible.length > 0 ? eligible : accepting;
   return job.generation === undefined || service.engine === undefined
     ? planCall(servers, job, inputs, nowMs)
     : planGeneration(servers, service.engine, job.generation, job, inputs, nowMs);
--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -217,6 +217,7 @@
 
 describe('a load tracker that receives load updates', () => {
   const engineOf = (): EngineParameters => engine;
+  const restrictions = { countRequest: () => undefined };
 
   it('tracks the jobs that other entries have placed until they end', () => {
     const tracker = createLoadTracker();
@@ -228,7 +229,7 @@
     };
     const received = decodeLoadUpdate(JSON.parse(JSON.stringify(encodeLoadUpdate(placed, 1_010))), 5_010);
     assert.ok(received !== undefined);
-    applyLoadUpdate(tracker, 'entry-2', received, engineOf, 5_010);
+    applyLoadUpdate(tracker, restrictions, 'entry-2', received, engineOf, 5_010);
     assert.deepEqual(
       [...tracker.load('e1').jobs.values()].map(({ job }) => job.arrivedAtMs),
       [4_900],
@@ -236,6 +237,7 @@
     assert.equal(sentTo(plan(tracker, registryOf('e1', 'e2'), shortJob('short', 5_020), 5_020)), 'e2');
     applyLoadUpdate(
       tracker,
+      restrictions,
       'entry-2',
       { kind: LoadUpdateKind.Ended, server: 'e1', jobId: 'long' },
       engineOf,
--- a/packages/placement/test/support/jobs.ts
+++ b/packages/placement/test/support/jobs.ts
@@ -134,6 +134,7 @@
   const inputs = {
     registry,
     loadTracker,
+    restrictions: { availableAtMs: () => Number.NEGATIVE_INFINITY },
     settings,
     mayWait: true,
     hasPartialLoadView: false,
--- /dev/null
+++ b/packages/restrictions/src/restriction-update.ts
@@ -0,0 +1,71 @@
+/** Updates about restrictions of servers that entries send one another, and their encoding as flat arrays. */
+import { z } from 'zod';
+
+/** The kinds of updates; their values differ from those of the other updates, which travel in the same frames. */
+export enum RestrictionUpdateKind {
+  /** A server has stated a rate limit, or no longer states one. */
+  Limit = 20,
+}
+
+/** An update. Its encoded times are relative to the time of encoding, since the clocks of hosts differ. */
+export interface RestrictionUpdate {
+  readonly kind: RestrictionUpdateKind.Limit;
+  readonly server: string;
+  /** Start of the run of the server, in milliseconds since 1970; 0 if unknown. */
+  readonly bornAtMs: number;
+  /** Requests per second; undefined if the server states no limit any more. */
+  readonly perSecond: number | undefined;
+  /** Time of the statement, in milliseconds. */
+  readonly statedAtMs: number;
+  /** Time up to which the limit is used, in milliseconds. */
+  readonly usedUntilMs: number;
+}
+
+const MAX_ID_LENGTH = 256;
+/** Encoded rate of a server without a limit. */
+const NO_LIMIT = -1;
+const milliseconds = z.number();
+const limitSchema = z.tuple([
+  z.literal(RestrictionUpdateKind.Limit),
+  z.string().max(MAX_ID_LENGTH),
+  milliseconds,
+  z.number().min(NO_LIMIT),
+  milliseconds,
+  milliseconds,
+]);
+
+/**
+ * Encodes an update as a flat array.
+ *
+ * @param update - the update
+ * @param nowMs - the current time, in milliseconds, to which encoded times are relative
+ * @returns an array whose first element is the kind of update
+ */
+export function encodeRestrictionUpdate(update: RestrictionUpdate, nowMs: number): unknown[] {
+  const { kind, server, bornAtMs, perSecond, statedAtMs, usedUntilMs } = update;
+  const relative = [Math.round(nowMs - statedAtMs), Math.round(usedUntilMs - nowMs)];
+  return [kind, server, bornAtMs, perSecond ?? NO_LIMIT, ...relative];
+}
+
+/**
+ * Decodes an update.
+ *
+ * @param value - a value received from another entry
+ * @param nowMs - the current time, in milliseconds, to which encoded times are relative
+ * @returns the update, or undefined if the value is not a valid update
+ */
+export function decodeRestrictionUpdate(value: unknown, nowMs: number): RestrictionUpdate | undefined {
+  const parsed = limitSchema.safeParse(value);
+  if (!parsed.success) {
+    return undefined;
+  }
+  const [kind, server, bornAtMs, perSecond, statedAgoMs, usedForMs] = parsed.data;
+  return {
+    kind,
+    server,
+    bornAtMs,
+    perSecond: perSecond < 0 ? undefined : perSecond,
+    statedAtMs: nowMs - Math.max(0, statedAgoMs),
+    usedUntilMs: nowMs + usedForMs,
+  };
+}
