No entry sends a request to a server that has answered that it leaves

The entry that gets such an answer tells the others, and the run of the server accepts nothing more at any of them, neither as the first engine of a group nor as one that prefills a part; a later run of it does. It stays known while the registration lapses, and an entry that starts is told by those it is linked to. If a service has only such servers, its requests are rejected at once.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -9,6 +9,7 @@
   readonly readyServers: () => number;
   readonly quarantinedParts: () => number;
   readonly limitedServers: () => number;
+  readonly leavingServers: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -30,6 +31,7 @@
     'Parts of prompts that are rejected because they crash backend servers.',
   ],
   limitedServers: ['toucanbend_limited_servers', 'Backend servers that state a rate limit.'],
+  leavingServers: ['toucanbend_leaving_servers', 'Backend servers that have answered that they leave.'],
   catalogueVersion: [
     'toucanbend_catalogue_version',
     'Version of the configuration in force; 0 before the first.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -245,6 +245,7 @@
     readyServers: () => readyServers(holder.current()).length,
     quarantinedParts: () => quarantine.list().length,
     limitedServers: restrictions.limitedCount.bind(restrictions),
+    leavingServers: restrictions.leavingCount.bind(restrictions),
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
     storeAnswers: () => (storeHealth.isReachable() ? 1 : 0),
     storeCalls: () => storeHealth.counts().calls,
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -222,7 +222,8 @@
       });
       await restarted.whenRestricted;
       const [received] = restarted.restrictionUpdates;
-      assert.deepEqual([received?.server, received?.bornAtMs, received?.perSecond], ['s1', 5, 1.5]);
+      assert.ok(received?.kind === RestrictionUpdateKind.Limit);
+      assert.deepEqual([received.server, received.bornAtMs, received.perSecond], ['s1', 5, 1.5]);
       restarted.peers.stop();
       other.peers.stop();
     }
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -252,6 +252,9 @@
   nowMs: number,
 ): PlacementDecision {
   const availableAtMs = Math.min(...servers.map(({ server }) => restrictions.availableAtMs(server)));
+  if (availableAtMs === Number.POSITIVE_INFINITY) {
+    return reject(RejectionReason.NoServer, NO_SERVER_RETRY_MS);
+  }
   const waitEndsAtMs = job.arrivedAtMs + RESTRICTED_WAIT_SHARE * job.targetMs;
   return mayWait && availableAtMs <= waitEndsAtMs
     ? { kind: DecisionKind.Wait, waitMs: availableAtMs - nowMs, cost: jobValue(job) }
--- a/packages/restrictions/src/restriction-update.ts
+++ b/packages/restrictions/src/restriction-update.ts
@@ -5,10 +5,12 @@
 export enum RestrictionUpdateKind {
   /** A server has stated a rate limit, or no longer states one. */
   Limit = 20,
+  /** A server has stated that it leaves. */
+  Leaving = 21,
 }
 
-/** An update. Its encoded times are relative to the time of encoding, since the clocks of hosts differ. */
-export interface RestrictionUpdate {
+/** The rate limit of a server. */
+export interface LimitUpdate {
   readonly kind: RestrictionUpdateKind.Limit;
   readonly server: string;
   /** Start of the run of the server, in milliseconds since 1970; 0 if unknown. */
@@ -21,6 +23,17 @@
   readonly usedUntilMs: number;
 }
 
+/** A server that leaves. */
+export interface LeavingUpdate {
+  readonly kind: RestrictionUpdateKind.Leaving;
+  readonly server: string;
+  /** Start of the run of the server, in milliseconds since 1970; 0 if unknown. */
+  readonly bornAtMs: number;
+}
+
+/** An update. Its encoded times are relative to the time of encoding, since the clocks of hosts differ. */
+export type RestrictionUpdate = LimitUpdate | LeavingUpdate;
+
 const MAX_ID_LENGTH = 256;
 /** Encoded rate of a server without a limit. */
 const NO_LIMIT = -1;
@@ -34,6 +47,13 @@
   milliseconds,
 ]);
 
+const leavingSchema = z.tuple([
+  z.literal(RestrictionUpdateKind.Leaving),
+  z.string().max(MAX_ID_LENGTH),
+  milliseconds,
+]);
+const updateSchema = z.union([limitSchema, leavingSchema]);
+
 /**
  * Encodes an update as a flat array.
  *
@@ -42,7 +62,11 @@
  * @returns an array whose first element is the kind of update
  */
 export function encodeRestrictionUpdate(update: RestrictionUpdate, nowMs: number): unknown[] {
-  const { kind, server, bornAtMs, perSecond, statedAtMs, usedUntilMs } = update;
+  const { kind, server, bornAtMs } = update;
+  if (kind === RestrictionUpdateKind.Leaving) {
+    return [kind, server, bornAtMs];
+  }
+  const { perSecond, statedAtMs, usedUntilMs } = update;
   const relative = [Math.round(nowMs - statedAtMs), Math.round(usedUntilMs - nowMs)];
   return [kind, server, bornAtMs, perSecond ?? NO_LIMIT, ...relative];
 }
@@ -55,11 +79,16 @@
  * @returns the update, or undefined if the value is not a valid update
  */
 export function decodeRestrictionUpdate(value: unknown, nowMs: number): RestrictionUpdate | undefined {
-  const parsed = limitSchema.safeParse(value);
+  const parsed = updateSchema.safeParse(value);
   if (!parsed.success) {
     return undefined;
   }
-  const [kind, server, bornAtMs, perSecond, statedAgoMs, usedForMs] = parsed.data;
+  const fields = parsed.data;
+  if (fields[0] === RestrictionUpdateKind.Leaving) {
+    const [kind, server, bornAtMs] = fields;
+    return { kind, server, bornAtMs };
+  }
+  const [kind, server, bornAtMs, perSecond, statedAgoMs, usedForMs] = fields;
   return {
     kind,
     server,
--- a/packages/restrictions/src/restrictions.ts
+++ b/packages/restrictions/src/restrictions.ts
@@ -11,7 +11,7 @@
   nextRequestAtMs,
   type RateLimit,
 } from './rate-limit.js';
-import { type RestrictionUpdate, RestrictionUpdateKind } from './restriction-update.js';
+import { type LimitUpdate, type RestrictionUpdate, RestrictionUpdateKind } from './restriction-update.js';
 import { type ServerNotice, UNLIMITED } from './server-notice.js';
 
 /** One run of a backend server. */
@@ -34,14 +34,16 @@
   /** Counts a request that this or another entry sends to a server, or a part of one. */
   countRequest(server: string, atMs: number): void;
   /**
-   * Returns the time from which a server accepts a request of this entry, in milliseconds; a time in the past if the
-   * server accepts one now.
+   * Returns the time from which a server accepts a request of this entry, in milliseconds: a time in the past if the
+   * server accepts one now, infinity if it leaves.
    */
   availableAtMs(server: ServerRun): number;
   /** Returns what another entry needs to know that starts or was cut off. */
   list(): RestrictionUpdate[];
   /** Returns the number of servers with a rate limit. */
   limitedCount(): number;
+  /** Returns the number of servers that have stated that they leave, in their present or last run. */
+  leavingCount(): number;
   /** Drops what is known of servers that have not been registered for some time. */
   prune(registered: ReadonlySet<string>): void;
 }
@@ -63,9 +65,19 @@
   readonly bornAtMs: number;
   readonly limit: RateLimit | undefined;
   /** Time of the last statement about the limit, in milliseconds. */
-  readonly statedAtMs: number;
+  readonly limitStatedAtMs: number;
+  readonly isLeaving: boolean;
+  /** Time of the last change, in milliseconds. */
+  readonly changedAtMs: number;
 }
 
+const unrestricted: Omit<Restriction, 'bornAtMs'> = {
+  limit: undefined,
+  limitStatedAtMs: Number.NEGATIVE_INFINITY,
+  isLeaving: false,
+  changedAtMs: Number.NEGATIVE_INFINITY,
+};
+
 /**
  * Time for which the restrictions of a server are kept that is not registered, in milliseconds: registrations may lapse
  * while the store is unreachable.
@@ -83,7 +95,7 @@
 
   stated(server: ServerRun, notice: ServerNotice, source: NoticeSource): void {
     const { logger } = this.#options;
-    const { limitPerSecond, invalid } = notice;
+    const { limitPerSecond, isLeaving, invalid } = notice;
     if (invalid.length > 0) {
       logger.warn('server notice invalid, ignored', {
         request: source.requestId,
@@ -91,6 +103,16 @@
         invalid,
       });
     }
+    if (this.#isOlderRun(server)) {
+      return;
+    }
+    if (isLeaving && this.#recordLeaving(server, { request: source.requestId, source: 'answer' })) {
+      this.#options.broadcast({
+        kind: RestrictionUpdateKind.Leaving,
+        server: server.id,
+        bornAtMs: server.bornAtMs,
+      });
+    }
     if (limitPerSecond === UNLIMITED) {
       this.#endLimit(server, source);
     } else if (limitPerSecond !== undefined) {
@@ -99,26 +121,14 @@
   }
 
   receive(update: RestrictionUpdate): void {
-    const { server: id, bornAtMs, perSecond, statedAtMs, usedUntilMs } = update;
-    const known = this.#servers.get(id);
-    if (known !== undefined && known.bornAtMs > bornAtMs) {
+    const { server: id, bornAtMs } = update;
+    if (this.#isOlderRun({ id, bornAtMs })) {
       return;
     }
-    const nowMs = this.#options.clock.now();
-    const current = known?.bornAtMs === bornAtMs ? known : undefined;
-    const isNewer = current === undefined || statedAtMs > current.statedAtMs;
-    const ratePerSecond = isNewer ? perSecond : current.limit?.perSecond;
-    const before = current?.limit;
-    const limit =
-      ratePerSecond === undefined
-        ? undefined
-        : this.#merge(
-            changeRate(before ?? newLimit(ratePerSecond, nowMs), ratePerSecond, nowMs),
-            usedUntilMs,
-          );
-    this.#servers.set(id, { bornAtMs, limit, statedAtMs: isNewer ? statedAtMs : current.statedAtMs });
-    if (before?.perSecond !== ratePerSecond) {
-      this.#logLimit(id, before, limit, { statedAgoMs: Math.round(nowMs - statedAtMs), source: 'peer' });
+    if (update.kind === RestrictionUpdateKind.Leaving) {
+      this.#recordLeaving({ id, bornAtMs }, { source: 'peer' });
+    } else {
+      this.#receiveLimit(update);
     }
   }
 
@@ -130,35 +140,48 @@
   }
 
   availableAtMs(server: ServerRun): number {
-    const limit = this.#find(server)?.limit;
-    if (limit === undefined) {
+    const known = this.#find(server);
+    if (known?.isLeaving === true) {
+      return Number.POSITIVE_INFINITY;
+    }
+    if (known?.limit === undefined) {
       return Number.NEGATIVE_INFINITY;
     }
     const { entry, share } = this.#options;
-    const seed = `${entry}/${server.id}/${String(Math.round(limit.usedUntilMs))}`;
-    return nextRequestAtMs(limit, share(), murmurhash.v3(seed) / HASH_RANGE);
+    const seed = `${entry}/${server.id}/${String(Math.round(known.limit.usedUntilMs))}`;
+    return nextRequestAtMs(known.limit, share(), murmurhash.v3(seed) / HASH_RANGE);
   }
 
   list(): RestrictionUpdate[] {
-    return [...this.#servers].map(([id, known]) => this.#updateOf(id, known));
+    return [...this.#servers].flatMap(([server, known]): RestrictionUpdate[] => {
+      const { bornAtMs, limitStatedAtMs, isLeaving } = known;
+      return [
+        ...(isLeaving ? [{ kind: RestrictionUpdateKind.Leaving, server, bornAtMs } as const] : []),
+        ...(Number.isFinite(limitStatedAtMs) ? [this.#limitUpdateOf(server, known)] : []),
+      ];
+    });
   }
 
   limitedCount(): number {
     return [...this.#servers.values()].filter(({ limit }) => limit !== undefined).length;
   }
 
+  leavingCount(): number {
+    return [...this.#servers.values()].filter(({ isLeaving }) => isLeaving).length;
+  }
+
   prune(registered: ReadonlySet<string>): void {
     const beforeMs = this.#options.clock.now() - UNREGISTERED_MS;
-    for (const [id, { statedAtMs }] of this.#servers) {
-      if (!registered.has(id) && statedAtMs < beforeMs) {
+    for (const [id, { changedAtMs }] of this.#servers) {
+      if (!registered.has(id) && changedAtMs < beforeMs) {
         this.#servers.delete(id);
       }
     }
   }
 
-  /** Returns a limit with the requests that another entry has counted. */
-  #merge(limit: RateLimit, usedUntilMs: number): RateLimit {
-    return { ...limit, usedUntilMs: Math.max(limit.usedUntilMs, usedUntilMs) };
+  /** Returns whether a later run of the server is known. */
+  #isOlderRun({ id, bornAtMs }: ServerRun): boolean {
+    return (this.#servers.get(id)?.bornAtMs ?? bornAtMs) > bornAtMs;
   }
 
   /** Returns what is known of this run of a server. */
@@ -167,6 +190,25 @@
     return known?.bornAtMs === server.bornAtMs ? known : undefined;
   }
 
+  #update(server: ServerRun, change: Partial<Restriction>): Restriction {
+    const changedAtMs = this.#options.clock.now();
+    const { id, bornAtMs } = server;
+    const restriction = { bornAtMs, ...(this.#find(server) ?? unrestricted), ...change, changedAtMs };
+    this.#servers.set(id, restriction);
+    return restriction;
+  }
+
+  /** Records that a run of a server leaves, which it does not take back. Returns whether this was unknown. */
+  #recordLeaving(server: ServerRun, fields: Readonly<Record<string, string>>): boolean {
+    if (this.#find(server)?.isLeaving === true) {
+      return false;
+    }
+    const { id, bornAtMs } = server;
+    this.#update(server, { isLeaving: true });
+    this.#options.logger.info('server leaving', { server: id, bornAtMs, ...fields });
+    return true;
+  }
+
   #setLimit(server: ServerRun, perSecond: number, source: NoticeSource): void {
     const { clock, share } = this.#options;
     const nowMs = clock.now();
@@ -175,39 +217,50 @@
       before === undefined
         ? countRequest(newLimit(perSecond, nowMs), share(), nowMs)
         : changeRate(before, perSecond, nowMs);
-    this.#record(server, { bornAtMs: server.bornAtMs, limit, statedAtMs: nowMs }, before, source);
+    this.#changeLimit(server, limit, source);
   }
 
   /** Ends a limit, unless the server stated it after it got the request. */
   #endLimit(server: ServerRun, source: NoticeSource): void {
     const known = this.#find(server);
-    if (known?.limit !== undefined && source.sentAtMs > known.statedAtMs) {
-      const statedAtMs = this.#options.clock.now();
-      this.#record(server, { ...known, limit: undefined, statedAtMs }, known.limit, source);
+    if (known?.limit !== undefined && source.sentAtMs > known.limitStatedAtMs) {
+      this.#changeLimit(server, undefined, source);
     }
   }
 
-  #record(
-    { id }: ServerRun,
-    restriction: Restriction,
-    before: RateLimit | undefined,
-    source: NoticeSource,
-  ): void {
-    const { limit } = restriction;
-    this.#servers.set(id, restriction);
+  #changeLimit(server: ServerRun, limit: RateLimit | undefined, source: NoticeSource): void {
+    const before = this.#find(server)?.limit;
+    const restriction = this.#update(server, { limit, limitStatedAtMs: this.#options.clock.now() });
     if (before?.perSecond !== limit?.perSecond) {
-      this.#logLimit(id, before, limit, { request: source.requestId, source: 'answer' });
-      this.#options.broadcast(this.#updateOf(id, restriction));
+      this.#logLimit(server.id, before, limit, { request: source.requestId, source: 'answer' });
+      this.#options.broadcast(this.#limitUpdateOf(server.id, restriction));
     }
   }
 
-  #updateOf(id: string, { bornAtMs, limit, statedAtMs }: Restriction): RestrictionUpdate {
+  /** Takes the rate of the later statement, and the use of the entry that has counted more requests. */
+  #receiveLimit({ server: id, bornAtMs, perSecond, statedAtMs, usedUntilMs }: LimitUpdate): void {
+    const nowMs = this.#options.clock.now();
+    const { limit: before, limitStatedAtMs } = this.#find({ id, bornAtMs }) ?? unrestricted;
+    const isNewer = statedAtMs > limitStatedAtMs;
+    const ratePerSecond = isNewer ? perSecond : before?.perSecond;
+    let limit: RateLimit | undefined;
+    if (ratePerSecond !== undefined) {
+      const changed = changeRate(before ?? newLimit(ratePerSecond, nowMs), ratePerSecond, nowMs);
+      limit = { ...changed, usedUntilMs: Math.max(changed.usedUntilMs, usedUntilMs) };
+    }
+    this.#update({ id, bornAtMs }, { limit, limitStatedAtMs: Math.max(statedAtMs, limitStatedAtMs) });
+    if (before?.perSecond !== ratePerSecond) {
+      this.#logLimit(id, before, limit, { statedAgoMs: Math.round(nowMs - statedAtMs), source: 'peer' });
+    }
+  }
+
+  #limitUpdateOf(server: string, { bornAtMs, limit, limitStatedAtMs }: Restriction): LimitUpdate {
     return {
       kind: RestrictionUpdateKind.Limit,
-      server: id,
+      server,
       bornAtMs,
       perSecond: limit?.perSecond,
-      statedAtMs,
+      statedAtMs: limitStatedAtMs,
       usedUntilMs: limit?.usedUntilMs ?? 0,
     };
   }
