An entry leaves a server alone for the time that it was turned away

The entry now sends it none until the longest stated time has passed; other entries are not told, since they were not turned away. If all servers of a service have turned the entry away, its requests are rejected at once with the time that is left, also the one whose attempt was turned away.

--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -244,14 +244,8 @@
  */
 const RESTRICTED_WAIT_SHARE = 0.125;
 
-/** Delays or rejects a job for which no server accepts a request now. */
-function planRestricted(
-  servers: readonly ReadyServer[],
-  job: Job,
-  { restrictions, mayWait }: PlannerInputs,
-  nowMs: number,
-): PlacementDecision {
-  const availableAtMs = Math.min(...servers.map(({ server }) => restrictions.availableAtMs(server)));
+/** Delays or rejects a job for which no server accepts a request before a time. */
+function planRestricted(availableAtMs: number, job: Job, mayWait: boolean, nowMs: number): PlacementDecision {
   if (availableAtMs === Number.POSITIVE_INFINITY) {
     return reject(RejectionReason.NoServer, NO_SERVER_RETRY_MS);
   }
@@ -283,9 +277,13 @@
 ): PlacementDecision {
   const ready = readyServers(inputs.registry, service.name, inputs.settings);
   const serving = excluded.size === 0 ? ready : ready.filter(({ server }) => !excluded.has(server.id));
-  const accepting = serving.filter(({ server }) => inputs.restrictions.availableAtMs(server) <= nowMs);
-  if (accepting.length === 0 && serving.length > 0) {
-    return planRestricted(serving, job, inputs, nowMs);
+  const availableAtMs = ({ server }: ReadyServer): number => inputs.restrictions.availableAtMs(server);
+  const accepting = serving.filter((view) => availableAtMs(view) <= nowMs);
+  if (accepting.length === 0) {
+    const firstAtMs = Math.min(...(serving.length > 0 ? serving : ready).map(availableAtMs));
+    if (firstAtMs > nowMs) {
+      return planRestricted(firstAtMs, job, inputs.mayWait && serving.length > 0, nowMs);
+    }
   }
   const eligible = accepting.filter(({ server }) => isEligible(inputs.loadTracker.load(server.id), nowMs));
   const servers = eligible.length > 0 ? eligible : accepting;
--- a/packages/placement/test/restricted-servers.test.ts
+++ b/packages/placement/test/restricted-servers.test.ts
@@ -73,6 +73,17 @@
     });
   });
 
+  it('is rejected with the usual time if a server that was tried before accepts one', () => {
+    const restrictions = {
+      availableAtMs: ({ id }: { id: string }): number =>
+        id === 'd1' ? NOW_MS + 100 : Number.NEGATIVE_INFINITY,
+    };
+    const options = { restrictions };
+    const decision = plan(createLoadTracker(), desks, arrived(call), NOW_MS, desk, ['d1', 'd2'], options);
+    assert.ok(decision.kind === DecisionKind.Reject);
+    assert.equal(decision.reason, 'no_server');
+  });
+
   it('waits if a server accepts one within a fraction of its target, but not again and again', () => {
     assert.equal(planWith({ d1: 900, d2: 20 }, arrived(call), desks).kind, DecisionKind.Wait);
     const waited = { ...arrived(call), arrivedAtMs: NOW_MS - 30 };
--- a/packages/restrictions/src/restrictions.ts
+++ b/packages/restrictions/src/restrictions.ts
@@ -67,6 +67,8 @@
   /** Time of the last statement about the limit, in milliseconds. */
   readonly limitStatedAtMs: number;
   readonly isLeaving: boolean;
+  /** Time until which the server wants no requests from this entry, in milliseconds. */
+  readonly backOffUntilMs: number;
   /** Time of the last change, in milliseconds. */
   readonly changedAtMs: number;
 }
@@ -75,6 +77,7 @@
   limit: undefined,
   limitStatedAtMs: Number.NEGATIVE_INFINITY,
   isLeaving: false,
+  backOffUntilMs: Number.NEGATIVE_INFINITY,
   changedAtMs: Number.NEGATIVE_INFINITY,
 };
 
@@ -95,7 +98,7 @@
 
   stated(server: ServerRun, notice: ServerNotice, source: NoticeSource): void {
     const { logger } = this.#options;
-    const { limitPerSecond, isLeaving, invalid } = notice;
+    const { limitPerSecond, isLeaving, backOffMs, invalid } = notice;
     if (invalid.length > 0) {
       logger.warn('server notice invalid, ignored', {
         request: source.requestId,
@@ -113,6 +116,9 @@
         bornAtMs: server.bornAtMs,
       });
     }
+    if (backOffMs !== undefined) {
+      this.#backOff(server, backOffMs, source);
+    }
     if (limitPerSecond === UNLIMITED) {
       this.#endLimit(server, source);
     } else if (limitPerSecond !== undefined) {
@@ -144,12 +150,10 @@
     if (known?.isLeaving === true) {
       return Number.POSITIVE_INFINITY;
     }
-    if (known?.limit === undefined) {
-      return Number.NEGATIVE_INFINITY;
-    }
-    const { entry, share } = this.#options;
-    const seed = `${entry}/${server.id}/${String(Math.round(known.limit.usedUntilMs))}`;
-    return nextRequestAtMs(known.limit, share(), murmurhash.v3(seed) / HASH_RANGE);
+    const backOffUntilMs = known?.backOffUntilMs ?? Number.NEGATIVE_INFINITY;
+    return known?.limit === undefined
+      ? backOffUntilMs
+      : Math.max(backOffUntilMs, this.#nextRequestAtMs(server, known.limit));
   }
 
   list(): RestrictionUpdate[] {
@@ -179,6 +183,12 @@
     }
   }
 
+  #nextRequestAtMs({ id }: ServerRun, limit: RateLimit): number {
+    const { entry, share } = this.#options;
+    const seed = `${entry}/${id}/${String(Math.round(limit.usedUntilMs))}`;
+    return nextRequestAtMs(limit, share(), murmurhash.v3(seed) / HASH_RANGE);
+  }
+
   /** Returns whether a later run of the server is known. */
   #isOlderRun({ id, bornAtMs }: ServerRun): boolean {
     return (this.#servers.get(id)?.bornAtMs ?? bornAtMs) > bornAtMs;
@@ -209,6 +219,19 @@
     return true;
   }
 
+  /** Sends nothing to a server for a time. Only this entry does so, since the server turned only this one away. */
+  #backOff(server: ServerRun, backOffMs: number, source: NoticeSource): void {
+    const untilMs = this.#options.clock.now() + backOffMs;
+    const backOffUntilMs = Math.max(untilMs, this.#find(server)?.backOffUntilMs ?? untilMs);
+    this.#update(server, { backOffUntilMs });
+    this.#options.logger.info('server turned this entry away', {
+      request: source.requestId,
+      server: server.id,
+      backOffMs: Math.round(backOffMs),
+      leftMs: Math.round(backOffUntilMs - this.#options.clock.now()),
+    });
+  }
+
   #setLimit(server: ServerRun, perSecond: number, source: NoticeSource): void {
     const { clock, share } = this.#options;
     const nowMs = clock.now();
--- a/packages/restrictions/test/leaving.test.ts
+++ b/packages/restrictions/test/restrictions.test.ts
@@ -1,4 +1,4 @@
-/** Servers that state that they leave, as several entries know them. */
+/** What an entry knows of servers that leave, turn it away or have a limit. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock } from '@toucanbend/core';
@@ -81,6 +81,29 @@
   });
 });
 
+describe('a server that turns an entry away for a time', () => {
+  it('is left alone for the longest time that it stated, and not longer', () => {
+    const entry = createEntry();
+    entry.stated(server, { ...emptyNotice, backOffMs: 2_000 }, source);
+    entry.stated(server, { ...emptyNotice, backOffMs: 500 }, source);
+    entry.stated(server, emptyNotice, source);
+    assert.equal(entry.availableAtMs(server), clock.now() + 2_000);
+  });
+
+  it('is left alone while its rate limit allows requests', () => {
+    const entry = createEntry();
+    entry.stated(server, { ...emptyNotice, backOffMs: 2_000, limitPerSecond: 100 }, source);
+    assert.equal(entry.availableAtMs(server), clock.now() + 2_000);
+  });
+
+  it('is not announced to the other entries, which it has not turned away', () => {
+    const updates: RestrictionUpdate[] = [];
+    const entry = createEntry(updates);
+    entry.stated(server, { ...emptyNotice, backOffMs: 2_000 }, source);
+    assert.deepEqual([...updates, ...entry.list()], []);
+  });
+});
+
 describe('an update about a restriction', () => {
   it('is ignored unless it is valid', () => {
     for (const value of [
