A rejection counts only if it carries the id of the request

An answer that reports that its request did not run was accepted before its id was compared. A faulty server that wrote an earlier rejection once more, or one without an id, made the entry send a request that may run once to a second server while the first ran it, and callers were told that it had not run.

The id of every answer is compared first; an answer with another id, or none, leaves the attempt in doubt.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -83,6 +83,9 @@
 /** Limit on the head of an answer in bytes, including the interim responses and blank lines before it. */
 const MAX_HEAD_BYTES = 64 * 1024;
 
+/** Limit on the ids of answers in the log, in characters. */
+const MAX_LOGGED_ID_LENGTH = 64;
+
 /** Statuses whose answers have no body (RFC 9112, section 6.3). */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -173,24 +176,27 @@
   message: IncomingMessage,
 ): void {
   const start = readAnswerStart(options, message);
-  if (start.requestId === options.requestId && !reporter.isFinished) {
-    options.onNotice(start.notice);
-  }
   const body = coalesceBody(reporter);
   message.on('error', (error) => {
     body.flush();
     reporter.failDisconnected(`answer interrupted: ${error.message}`);
   });
+  if (start.requestId !== options.requestId) {
+    const id = start.requestId?.slice(0, MAX_LOGGED_ID_LENGTH) ?? 'none';
+    reporter.failInterrupted(
+      `answer with status ${String(start.status)} has the id of another request: ${id}`,
+    );
+    outgoing.destroy();
+    return;
+  }
+  if (!reporter.isFinished) {
+    options.onNotice(start.notice);
+  }
   if (start.isNotRun) {
     reporter.fail(AttemptFailure.NotRun, `status ${String(start.status)}`, start.faultyAddress);
     message.resume();
     return;
   }
-  if (start.requestId !== options.requestId) {
-    reporter.failInterrupted('answer carries the id of another request');
-    outgoing.destroy();
-    return;
-  }
   reporter.report({ type: AttemptEventType.Started, start });
   message.on('data', body.add);
   message.on('end', () => {
