--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -273,7 +273,11 @@
       metricsRegistry,
       logger,
       isReady,
-      status: () => ({ ...describeRegistry(holder.current()), quarantined: quarantine.list() }),
+      status: () => ({
+        ...describeRegistry(holder.current()),
+        quarantined: quarantine.list(),
+        restrictions: restrictions.list(),
+      }),
     });
   }
   logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
