The fake network drops the rest of a connection that lost data

The relay dropped all data while a route was a black hole, for 300 ms at least, and passed later data of the same connection on. Each event is written as one chunk, so the answer remained well-formed with a gap, which TCP never delivers: a lost segment is sent again, or the connection ends.

relay.test shows it without the soak: the client received the first and the third chunk of an answer before, and nothing after the gap now.

--- a/fakes/relay.ts
+++ b/fakes/relay.ts
@@ -7,7 +7,10 @@
   None = 'none',
   /** Open connections silently drop all data; new ones work. */
   Forget = 'forget',
-  /** All data is dropped; new connections are accepted, but their data is dropped too. */
+  /**
+   * All data is dropped; new connections are accepted, but their data is dropped too. A connection that lost data passes
+   * nothing on afterwards either.
+   */
   Blackhole = 'blackhole',
   /** Open connections are destroyed, and new ones are destroyed on accept. */
   Cut = 'cut',
@@ -67,7 +70,10 @@
 function forward(state: RouteState, connection: Socket, from: Socket, to: Socket): void {
   const send = createDelayLine(to);
   from.on('data', (chunk) => {
-    if (state.fault !== RelayFault.Blackhole && !state.forgotten.has(connection)) {
+    if (state.fault === RelayFault.Blackhole) {
+      state.forgotten.add(connection);
+    }
+    if (!state.forgotten.has(connection)) {
       send(chunk, state.delayMs + Math.random() * (state.route.jitterMs ?? 0));
     }
   });
