The entry asks sides again that did not answer in time

A side that is short of processor time answers a probe later than the 80 ms that the entry waits, and the entry gave up after three such queries, with seconds of the target left.

If no side is known, or all answer, it rejects as before.

--- a/packages/entry/src/completion.ts
+++ b/packages/entry/src/completion.ts
@@ -30,6 +30,13 @@
 
 const RETRY_DELAY_MS = 50;
 const MAX_UNANSWERED_QUERIES = 3;
+/**
+ * Share of the first-token limit that must be left for sides to be asked again that did not answer. Sides that are short
+ * of processor time answer too late for one query, and in time for a later one.
+ */
+const MIN_LIMIT_SHARE_LEFT = 0.5;
+/** Longest delay between two queries that no side answered, in milliseconds; the delay doubles up to it. */
+const MAX_RETRY_DELAY_MS = 400;
 /** Bodies up to this size are sent with the submission, without waiting for the side to accept it. */
 const EAGER_BODY_BYTES = 64 * 1024;
 
@@ -85,13 +92,18 @@
       });
       if (offers.best === undefined) {
         failedQueries += 1;
-        const mayQueryAgain =
-          this.#progress.inDoubt || (!offers.answered && failedQueries < MAX_UNANSWERED_QUERIES);
+        const isUnanswered = !offers.answered && (offers.asked > 0 || failedQueries < MAX_UNANSWERED_QUERIES);
+        const leftMs = this.#firstTokenLeftMs();
+        const isEarly = leftMs >= MIN_LIMIT_SHARE_LEFT * this.#request.firstTokenLimitMs;
+        const mayQueryAgain = this.#progress.inDoubt || (isUnanswered && isEarly);
         if (!mayQueryAgain) {
           return this.#end(offers.reason, offers.retryAfterMs);
         }
         this.#progress.failed.clear();
-        yield* pause(this.#context.clock, RETRY_DELAY_MS);
+        yield* pause(
+          this.#context.clock,
+          Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** (failedQueries - 1)),
+        );
         continue;
       }
       const end = yield* this.#attempt(offers.best);
--- a/packages/entry/src/offers.ts
+++ b/packages/entry/src/offers.ts
@@ -22,8 +22,10 @@
   readonly reason: Reason;
   /** Shortest time after which a side may accept the request, in milliseconds. */
   readonly retryAfterMs: number;
-  /** Whether any side answered the probes. */
+  /** Whether the answers decide: one that leaves tells nothing of sides that did not answer. */
   readonly answered: boolean;
+  /** Number of sides that were probed. */
+  readonly asked: number;
 }
 
 /** A request for which offers are wanted. */
@@ -82,21 +84,22 @@
   });
 }
 
-function accepted(best: ReceivedOffer): Offers {
-  return { best, reason: Reason.None, retryAfterMs: 0, answered: true };
+function accepted(best: ReceivedOffer, asked: number): Offers {
+  return { best, reason: Reason.None, retryAfterMs: 0, answered: true, asked };
 }
 
-function rejectedOffers(offers: readonly ReceivedOffer[]): Offers {
+function rejectedOffers(offers: readonly ReceivedOffer[], asked: number): Offers {
   const refused = offers.filter((offer) => !offer.accepted);
   if (refused.length === 0) {
     const reason = Reason.NoServer;
-    return { best: undefined, reason, retryAfterMs: NO_SERVER_RETRY_AFTER_MS, answered: false };
+    return { best: undefined, reason, retryAfterMs: NO_SERVER_RETRY_AFTER_MS, answered: false, asked };
   }
   const soonest = refused.reduce((best, offer) =>
     offer.bid.retryAfterMs < best.bid.retryAfterMs ? offer : best,
   );
   const { reason, retryAfterMs } = soonest.bid;
-  return { best: undefined, reason, retryAfterMs, answered: true };
+  const answered = refused.length === asked || refused.some(({ bid }) => bid.reason !== Reason.Leaving);
+  return { best: undefined, reason, retryAfterMs, answered, asked };
 }
 
 /**
@@ -121,8 +124,10 @@
     .filter((server) => !query.excluded.has(server.name));
   const counts = { byPrefix: settings.probesByPrefix, atRandom: settings.probesAtRandom };
   const received: ReceivedOffer[] = [];
+  let askedCount = 0;
   for (const round of candidateRounds(known, query.work.prefix, location, counts, random)) {
     const asked = round.flatMap((view) => directory.find(view.name) ?? []);
+    askedCount += asked.length;
     const answers = yield* settle(Promise.all(asked.map((server) => probeServer(context, server, query))));
     received.push(...answers.filter((answer) => answer !== undefined));
     const best = chooseOffer(received);
@@ -134,9 +139,9 @@
       best,
     );
     if (best !== undefined && offerCost(best) <= SPILLOVER_COST_SHARE * query.work.firstTokenLimitMs) {
-      return accepted(best);
+      return accepted(best, askedCount);
     }
   }
   const best = chooseOffer(received);
-  return best === undefined ? rejectedOffers(received) : accepted(best);
+  return best === undefined ? rejectedOffers(received, askedCount) : accepted(best, askedCount);
 }
--- a/test/support/session.ts
+++ b/test/support/session.ts
@@ -85,6 +85,8 @@
 /** What identifies a kind of session. */
 export interface SessionOptions {
   readonly kind: RequestKind;
+  /** Delays of the side's first frames to the entry, in milliseconds; later frames are not delayed. */
+  readonly delaysMs?: readonly number[];
 }
 
 function settingsOf(kind: RequestKind): Settings {
@@ -206,6 +208,7 @@
 export function createSession(options: SessionOptions): Session {
   const clock = createManualClock();
   const lines: string[] = [];
+  const delaysMs = [...(options.delaysMs ?? [])];
   const record = (line: string): void => {
     lines.push(`${String(clock.now()).padStart(6)} ${line}`);
   };
@@ -266,9 +269,15 @@
     isOpen: () => true,
   });
   const toEntry: Link = linkTo('side -> entry   ', 'entry-1', (frame) => {
-    setImmediate(() => {
+    const delayMs = delaysMs.shift() ?? 0;
+    const deliver = (): void => {
       exchange.handle(toSide, frame);
-    });
+    };
+    if (delayMs > 0) {
+      clock.after(delayMs, deliver);
+    } else {
+      setImmediate(deliver);
+    }
   });
   const toSide: Link = linkTo('entry -> side   ', 'host-1', (frame) => {
     raise({ type: SideEventType.Frame, link: toEntry, frame });
