--- a/packages/forwarding/test/leaving-server.test.ts
+++ b/packages/forwarding/test/leaving-server.test.ts
@@ -1,17 +1,9 @@
 /** Requests of several entries while a server states in its answers that it leaves. */
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { createManualClock, type ManualClock } from '@toucanbend/core';
-import { startFleet } from './support/fleet.js';
-import { paths, type TestGateway } from './support/gateway.js';
-import {
-  answerTo,
-  callAs,
-  type CallerResult,
-  type Script,
-  type ScriptedServer,
-  startScriptedServer,
-} from './support/scripted-server.js';
+import { type FleetDeployment, startFleetDeployment } from './support/fleet.js';
+import { paths } from './support/gateway.js';
+import { answerTo, type Script } from './support/scripted-server.js';
 
 const open: { close(): void }[] = [];
 
@@ -23,29 +15,10 @@
 
 const ENTRIES = 3;
 
-interface Deployment {
-  readonly clock: ManualClock;
-  readonly fleet: readonly TestGateway[];
-  readonly servers: readonly ScriptedServer[];
-  call(entry: number, path: string): Promise<CallerResult>;
-}
-
-async function startDeployment(...scripts: readonly Script[]): Promise<Deployment> {
-  const clock = createManualClock();
-  const servers = await Promise.all(scripts.map(startScriptedServer));
-  const fleet = await startFleet(
-    ENTRIES,
-    servers.map(({ port }) => port),
-    { clock },
-  );
-  open.push(...fleet, ...servers);
-  let calls = 0;
-  const call = (entry: number, path: string): Promise<CallerResult> => {
-    calls += 1;
-    const headers = { 'request-id': `r${String(calls)}` };
-    return callAs({ port: fleet[entry]?.port ?? 0, path, headers }).result;
-  };
-  return { clock, fleet, servers, call };
+async function startDeployment(...scripts: readonly Script[]): Promise<FleetDeployment> {
+  const deployment = await startFleetDeployment(ENTRIES, ...scripts);
+  open.push(deployment);
+  return deployment;
 }
 
 const serves: Script = (socket, request) => socket.end(answerTo(request, 'a vane'));
--- a/packages/forwarding/test/support/fleet.ts
+++ b/packages/forwarding/test/support/fleet.ts
@@ -1,5 +1,13 @@
 /** Several entries that send one another their updates. */
+import { createManualClock, type ManualClock } from '@toucanbend/core';
 import { startTestGateway, type TestGateway, type TestGatewayOptions } from './gateway.js';
+import {
+  callAs,
+  type CallerResult,
+  type Script,
+  type ScriptedServer,
+  startScriptedServer,
+} from './scripted-server.js';
 
 /**
  * Starts entries in front of the same backend servers.
@@ -37,3 +45,47 @@
   }
   return fleet;
 }
+
+/** Entries on a manual clock in front of scripted servers. */
+export interface FleetDeployment {
+  readonly clock: ManualClock;
+  readonly servers: readonly ScriptedServer[];
+  /** Sends a request to an entry, which is given by its index. */
+  call(entry: number, path: string): Promise<CallerResult>;
+  close(): void;
+}
+
+/**
+ * Starts scripted servers and entries in front of them.
+ *
+ * @param entries - number of entries
+ * @param scripts - one for each server
+ * @returns the deployment
+ */
+export async function startFleetDeployment(
+  entries: number,
+  ...scripts: readonly Script[]
+): Promise<FleetDeployment> {
+  const clock = createManualClock();
+  const servers = await Promise.all(scripts.map(startScriptedServer));
+  const fleet = await startFleet(
+    entries,
+    servers.map(({ port }) => port),
+    { clock },
+  );
+  let calls = 0;
+  return {
+    clock,
+    servers,
+    call: (entry, path) => {
+      calls += 1;
+      const headers = { 'request-id': `r${String(calls)}` };
+      return callAs({ port: fleet[entry]?.port ?? 0, path, headers }).result;
+    },
+    close: () => {
+      [...fleet, ...servers].forEach((item) => {
+        item.close();
+      });
+    },
+  };
+}
