--- a/packages/entry/src/completion.ts
+++ b/packages/entry/src/completion.ts
@@ -31,12 +31,12 @@
 const RETRY_DELAY_MS = 50;
 const MAX_UNANSWERED_QUERIES = 3;
 /**
- * Share of the first-token limit that must be left for sides to be asked again that did not answer. Sides that are short
- * of processor time answer too late for one query, and in time for a later one.
+ * Share of the time until the first-token limit or the deadline, whichever is earlier, within which sides are asked again
+ * that did not answer. Sides that are short of processor time answer too late for one query, and in time for a later one.
  */
-const MIN_LIMIT_SHARE_LEFT = 0.5;
+const REPEATED_QUERY_SHARE = 0.5;
 /** Longest delay between two queries that no side answered, in milliseconds; the delay doubles up to it. */
-const MAX_RETRY_DELAY_MS = 400;
+const MAX_RETRY_DELAY_MS = 200;
 /** Bodies up to this size are sent with the submission, without waiting for the side to accept it. */
 const EAGER_BODY_BYTES = 64 * 1024;
 
@@ -93,9 +93,7 @@
       if (offers.best === undefined) {
         failedQueries += 1;
         const isUnanswered = !offers.answered && (offers.asked > 0 || failedQueries < MAX_UNANSWERED_QUERIES);
-        const leftMs = this.#firstTokenLeftMs();
-        const isEarly = leftMs >= MIN_LIMIT_SHARE_LEFT * this.#request.firstTokenLimitMs;
-        const mayQueryAgain = this.#progress.inDoubt || (isUnanswered && isEarly);
+        const mayQueryAgain = this.#progress.inDoubt || (isUnanswered && this.#mayRepeatQuery());
         if (!mayQueryAgain) {
           return this.#end(offers.reason, offers.retryAfterMs);
         }
@@ -161,6 +159,13 @@
     return this.#progress.inDoubt ? this.#timeLeftMs() : Math.max(0, leftMs);
   }
 
+  /** Returns whether enough time is left to ask sides again that did not answer. */
+  #mayRepeatQuery(): boolean {
+    const { receivedAtMs, firstTokenLimitMs, deadlineAtMs } = this.#request;
+    const limitMs = Math.min(firstTokenLimitMs, deadlineAtMs - receivedAtMs);
+    return this.#context.clock.now() - receivedAtMs < REPEATED_QUERY_SHARE * limitMs;
+  }
+
   #remainingTokens(): number {
     return this.#request.maxTokens - this.#progress.delivered.length;
   }
