Entry: the field for conclusive answers of sides says what it means; tour reflowed

isConclusive in place of answered, which had come to mean more than that a side answered. No behaviour changes; the tests of slow sides, of golden sessions and of calls pass.

--- a/packages/entry/src/completion.ts
+++ b/packages/entry/src/completion.ts
@@ -92,7 +92,8 @@
       });
       if (offers.best === undefined) {
         failedQueries += 1;
-        const isUnanswered = !offers.answered && (offers.asked > 0 || failedQueries < MAX_UNANSWERED_QUERIES);
+        const isUnanswered =
+          !offers.isConclusive && (offers.asked > 0 || failedQueries < MAX_UNANSWERED_QUERIES);
         const mayQueryAgain = this.#progress.inDoubt || (isUnanswered && this.#mayRepeatQuery());
         if (!mayQueryAgain) {
           return this.#end(offers.reason, offers.retryAfterMs);
--- a/packages/entry/src/offers.ts
+++ b/packages/entry/src/offers.ts
@@ -22,8 +22,8 @@
   readonly reason: Reason;
   /** Shortest time after which a side may accept the request, in milliseconds. */
   readonly retryAfterMs: number;
-  /** Whether the answers decide: one that leaves tells nothing of sides that did not answer. */
-  readonly answered: boolean;
+  /** Whether the answers of sides suffice to reject the request; one that leaves tells nothing of those that did not answer. */
+  readonly isConclusive: boolean;
   /** Number of sides that were probed. */
   readonly asked: number;
 }
@@ -85,21 +85,21 @@
 }
 
 function accepted(best: ReceivedOffer, asked: number): Offers {
-  return { best, reason: Reason.None, retryAfterMs: 0, answered: true, asked };
+  return { best, reason: Reason.None, retryAfterMs: 0, isConclusive: true, asked };
 }
 
 function rejectedOffers(offers: readonly ReceivedOffer[], asked: number): Offers {
   const refused = offers.filter((offer) => !offer.accepted);
   if (refused.length === 0) {
     const reason = Reason.NoServer;
-    return { best: undefined, reason, retryAfterMs: NO_SERVER_RETRY_AFTER_MS, answered: false, asked };
+    return { best: undefined, reason, retryAfterMs: NO_SERVER_RETRY_AFTER_MS, isConclusive: false, asked };
   }
   const soonest = refused.reduce((best, offer) =>
     offer.bid.retryAfterMs < best.bid.retryAfterMs ? offer : best,
   );
   const { reason, retryAfterMs } = soonest.bid;
-  const answered = refused.length === asked || refused.some(({ bid }) => bid.reason !== Reason.Leaving);
-  return { best: undefined, reason, retryAfterMs, answered, asked };
+  const isConclusive = refused.length === asked || refused.some(({ bid }) => bid.reason !== Reason.Leaving);
+  return { best: undefined, reason, retryAfterMs, isConclusive, asked };
 }
 
 /**
