--- /dev/null
+++ b/packages/forwarding/test/silent-server.test.ts
@@ -0,0 +1,141 @@
+/** Answers of sound servers that pause for longer than the inactivity timeout, while no other server can take over. */
+import assert from 'node:assert/strict';
+import { type Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { createManualClock, type ManualClock } from '@toucanbend/core';
+import { paths, startTestGateway, type TestGateway } from './support/gateway.js';
+import {
+  answerTo,
+  callAs,
+  type CallerResult,
+  firstThen,
+  type ReceivedRequest,
+  type Script,
+  type ScriptedServer,
+  startScriptedServer,
+} from './support/scripted-server.js';
+
+const open: { close(): void }[] = [];
+
+afterEach(() => {
+  open.splice(0).forEach((item) => {
+    item.close();
+  });
+});
+
+/** Longer than the inactivity timeout of the test routes before and after the first event, in milliseconds. */
+const SILENCE_MS = 1_300;
+const TIMEOUT = { timeout: 20_000 };
+
+const event = (id: number): string => `id: ${String(id)}\ndata: token ${String(id)}\n\n`;
+const events = (from: number, to: number): string =>
+  Array.from({ length: to - from + 1 }, (_, index) => event(from + index)).join('');
+
+function writeChunk(socket: Socket, text: string): void {
+  socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+}
+
+function beginStream(socket: Socket, request: ReceivedRequest): void {
+  const lines = [
+    'HTTP/1.1 200 OK',
+    `request-id: ${request.headers.get('request-id') ?? ''}`,
+    'signature: vane-1',
+    'content-type: text/event-stream',
+    'transfer-encoding: chunked',
+  ];
+  socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+}
+
+/** A server that stops in the middle of its answer until the test lets it continue. */
+class PausingServer {
+  readonly #before: Script;
+  readonly #after: Script;
+  #resume: () => void = () => undefined;
+  isCancelled = false;
+
+  constructor(before: Script, after: Script) {
+    this.#before = before;
+    this.#after = after;
+  }
+
+  readonly script: Script = (socket, request) => {
+    socket.once('close', () => {
+      this.isCancelled = true;
+    });
+    this.#before(socket, request);
+    this.#resume = () => {
+      this.#after(socket, request);
+    };
+  };
+
+  resume(): void {
+    this.#resume();
+  }
+}
+
+const pausingStream = (): PausingServer =>
+  new PausingServer(
+    (socket, request) => {
+      beginStream(socket, request);
+      writeChunk(socket, events(1, 2));
+    },
+    (socket) => {
+      writeChunk(socket, events(3, 4));
+      socket.end('0\r\n\r\n');
+    },
+  );
+
+const rejectsNotRun: Script = (socket, request) =>
+  socket.end(answerTo(request, 'full', { status: 503, headers: ['not-run: 1'] }));
+
+async function until(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+interface PausedRequest {
+  readonly clock: ManualClock;
+  readonly servers: readonly ScriptedServer[];
+  readonly gateway: TestGateway;
+  readonly result: Promise<CallerResult>;
+  /** Body that the caller has received so far. */
+  body(): string;
+  leave(): void;
+}
+
+/** Sends a request to two servers; the one that gets it first pauses, the other one has another script. */
+async function startPaused(path: string, pausing: PausingServer, other: Script): Promise<PausedRequest> {
+  const script = firstThen(pausing.script, other);
+  const servers = [await startScriptedServer(script), await startScriptedServer(script)];
+  const clock = createManualClock();
+  const gateway = await startTestGateway(
+    servers.map(({ port }) => port),
+    { clock },
+  );
+  open.push(gateway, ...servers);
+  let body = '';
+  const { result, leave } = callAs({ port: gateway.port, path }, (received) => {
+    body = received;
+  });
+  await until(() => servers.some(({ received }) => received.length > 0));
+  return { clock, servers, gateway, result, body: () => body, leave };
+}
+
+const totalReceived = (servers: readonly ScriptedServer[]): number =>
+  servers.reduce((sum, { received }) => sum + received.length, 0);
+
+describe('a server that is silent for longer than the inactivity timeout', () => {
+  it('completes its stream if the other server rejects the request', TIMEOUT, async () => {
+    const pausing = pausingStream();
+    const request = await startPaused(paths.stream, pausing, rejectsNotRun);
+    await until(() => request.body() === events(1, 2));
+    request.clock.advance(SILENCE_MS);
+    await until(() => totalReceived(request.servers) === 2);
+    await until(() => request.gateway.decisions.some(({ fields }) => fields.failure === 'not_run'));
+    pausing.resume();
+    const answer = await request.result;
+    assert.equal(answer.body, events(1, 4));
+    assert.equal(answer.isComplete, true);
+  });
+});
