LOST: a silent server keeps its attempt until another server answers

Callers saw a stream end with a closed connection, or a call end with 502, although its server was sound: it had been silent for longer than the inactivity timeout (1.2 s in a stream) and would have gone on.

Cause: the entry cancelled the silent attempt before it sent the request to another server. If that server was full, refused the memory or failed, no attempt was left and the answer that had begun was broken off. The class: a live source is given up before its replacement has delivered anything.

Change: an attempt whose server is silent goes on beside its replacement. The first of them that makes progress is kept, the others are cancelled, so that no event comes twice; if the replacement fails and no further attempt is allowed, the entry waits for the silent one until the deadline. An error response of the replacement no longer ends a request whose first attempt still runs. An attempt that was not sent, or whose memory is no longer in use, ends at once as before. Servers that help a silent attempt get no other part of the prompt meanwhile. A silent attempt counts once among the attempts of its route.

forward.ts is split: running-attempt.ts holds what an attempt occupies, request-placement.ts plans and logs.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -2,43 +2,23 @@
 import { type Channel, type ProcessBody, receiveWithin, settle } from '@toucanbend/channel';
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind as LogDecision } from '@toucanbend/observability';
-import {
-  DecisionKind,
-  type Helper,
-  type Job,
-  planJob,
-  type PlacementDecision,
-  type PlannerInputs,
-  splitJob,
-} from '@toucanbend/placement';
-import {
-  AnswerForm,
-  type BackendServer,
-  RecordKind,
-  type Registry,
-  RepeatPolicy,
-} from '@toucanbend/registry';
-import { type Attempt, AttemptFailure } from './attempt.js';
+import { DecisionKind, splitJob } from '@toucanbend/placement';
+import { type BackendServer, RepeatPolicy } from '@toucanbend/registry';
+import { type AttemptEvent, AttemptFailure, type AttemptFault } from './attempt.js';
 import { type CallerAnswer, EndReason, endReasonOf, type RequestEnd } from './caller-answer.js';
-import {
-  type AnswerRelay,
-  type AttemptResult,
-  BufferedRelay,
-  type FallbackAnswer,
-  StreamRelay,
-} from './answer-relay.js';
-import { type AnswerTiming, decisionLogFields, emptyTiming, extendTiming } from './log-fields.js';
-import { type CallerRequest, jobOf } from './caller-request.js';
+import { type FallbackAnswer } from './answer-relay.js';
+import { type AnswerTiming, emptyTiming, extendTiming } from './log-fields.js';
+import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
-import { dispatchAttempt } from './dispatch.js';
-import { isSoonEnough } from './failover.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
 import { recordFailedServer } from './failed-server.js';
-import { ReleaseCause, type ReservationOwner } from './part-reservation.js';
+import { type ReservationOwner } from './part-reservation.js';
 import { type MemoryError } from './memory.js';
 import { emptyHistory, mayRetry, outcomeOf, recordFailedAttempt } from './attempt-history.js';
 import { recordEndedShares, recordPlacedShares } from './placed-shares.js';
+import { createRequestPlacement, type RequestPlacement, type SendDecision } from './request-placement.js';
 import { reserveParts } from './reservation.js';
+import { type RunningAttempt, startRunningAttempt } from './running-attempt.js';
 import { createRequestQuarantine, type RequestQuarantine } from './request-quarantine.js';
 import { inactivityTimeoutMs } from './inactivity-timeout.js';
 
@@ -52,23 +32,16 @@
   readonly #request: CallerRequest;
   readonly #answer: CallerAnswer;
   readonly #inbox: Channel<ForwardMessage>;
-  readonly #job: Job;
+  readonly #placement: RequestPlacement;
   readonly #quarantine: RequestQuarantine;
+  /** The running attempts, the newest one last. All but the newest are at servers that have fallen silent. */
+  #attempts: readonly RunningAttempt[] = [];
   #attemptHistory = emptyHistory;
   #attemptNumber = 0;
   #triedServers = new Set<string>();
   /** Id of the last event that was sent to the caller. */
   #lastEventId: number | undefined;
   #fallback: FallbackAnswer | undefined;
-  #expectedMs = 0;
-  #isWaiting = false;
-  #dispatchedAtMs = 0;
-  /** When the last event of the running attempt arrived; before the first event, when the attempt was dispatched. */
-  #lastEventAtMs = 0;
-  /** Number of events of the running attempt. */
-  #attemptEvents = 0;
-  /** Whether the memory reserved for the running attempt is no longer in use at its engines. */
-  #isMemoryIdle = false;
   #timing: AnswerTiming = emptyTiming;
 
   constructor(
@@ -81,13 +54,21 @@
     this.#request = request;
     this.#answer = answer;
     this.#inbox = inbox;
-    this.#job = jobOf(request);
+    this.#placement = createRequestPlacement(context, request);
     this.#quarantine = createRequestQuarantine(context, request);
   }
 
   *run(): ProcessBody<RequestEnd> {
-    const { route, service } = this.#request;
-    this.#context.retries.request(service.name, this.#request.receivedAtMs);
+    const { service, receivedAtMs } = this.#request;
+    this.#context.retries.request(service.name, receivedAtMs);
+    try {
+      return yield* this.#serve();
+    } finally {
+      this.#keepOnly(undefined);
+    }
+  }
+
+  *#serve(): ProcessBody<RequestEnd> {
     for (;;) {
       if (this.#timeLeftMs() <= 0) {
         return this.#endWithoutAnswer(EndReason.DeadlinePassed, 0);
@@ -97,31 +78,43 @@
         this.#log(LogDecision.Route, { decided: DecisionKind.Reject, ...quarantined });
         return this.#endWithoutAnswer(EndReason.Quarantined, quarantined.leftMs);
       }
-      const decision = this.#plan();
-      if (decision.kind === DecisionKind.Reject) {
+      const mayWait = !this.#context.isDraining() && this.#attempts.length === 0;
+      const decision = this.#placement.plan(this.#excludedServers(), mayWait);
+      let end: RequestEnd | undefined;
+      if (decision.kind === DecisionKind.Send) {
+        end = yield* this.#attempt(decision);
+      } else if (this.#attempts.length > 0) {
+        end = yield* this.#awaitAnswer();
+      } else if (decision.kind === DecisionKind.Reject) {
         return this.#endWithoutAnswer(endReasonOf(decision.reason), decision.retryAfterMs);
-      }
-      if (decision.kind === DecisionKind.Wait) {
+      } else {
         const isGone = yield* this.#wait(decision.waitMs);
         if (isGone) {
           return this.#end(outcomeOf(this.#attemptHistory), EndReason.CallerGone, 0);
         }
         continue;
       }
-      this.#expectedMs = decision.expectedMs;
-      const end = yield* this.#attempt(decision.server, decision.helpers);
+      while (end === undefined && !this.#trySpendRetry()) {
+        if (this.#attempts.length === 0) {
+          return this.#endWithoutAnswer(EndReason.AttemptsUsed, RETRY_AFTER_FAILURE_MS);
+        }
+        end = yield* this.#awaitAnswer();
+      }
       if (end !== undefined) {
         return end;
       }
-      const isAllowed =
-        mayRetry(route.repeat, this.#attemptHistory, route.attempts) &&
-        this.#context.retries.trySpend(service.name, this.#context.entryCount(), this.#context.clock.now());
-      if (!isAllowed) {
-        return this.#endWithoutAnswer(EndReason.AttemptsUsed, RETRY_AFTER_FAILURE_MS);
-      }
     }
   }
 
+  #trySpendRetry(): boolean {
+    const { retries, entryCount, clock } = this.#context;
+    const { route, service } = this.#request;
+    return (
+      mayRetry(route.repeat, this.#attemptHistory, route.attempts) &&
+      retries.trySpend(service.name, entryCount(), clock.now())
+    );
+  }
+
   /**
    * Waits for a random time between half and all of `waitMs`, or until the caller disconnects or a part is quarantined.
    * Returns whether the caller disconnected.
@@ -138,95 +131,54 @@
     return false;
   }
 
-  #plannerInputs(options: Pick<PlannerInputs, 'mayWait' | 'replacesAttempt'>): PlannerInputs {
-    const { registry, loadTracker, restrictions, planner: settings, hasPartialLoadView } = this.#context;
-    return {
-      registry: registry(),
-      loadTracker,
-      restrictions,
-      settings,
-      hasPartialLoadView: hasPartialLoadView(),
-      ...options,
-    };
-  }
-
-  #plan(): PlacementDecision {
-    const inputs = this.#plannerInputs({ mayWait: !this.#context.isDraining(), replacesAttempt: false });
-    const { service } = this.#request;
-    const decision = planJob(this.#job, service, this.#triedServers, inputs, this.#context.clock.now());
-    this.#logPlan(decision, inputs.registry);
-    return decision;
+  /** Returns the servers that get no further attempt: those that failed, and those that a running attempt occupies. */
+  #excludedServers(): ReadonlySet<string> {
+    const occupied = this.#attempts.flatMap(({ helpers }) => helpers.map((helper) => helper.server.id));
+    return new Set([...this.#triedServers, ...occupied]);
   }
 
-  /** Logs a placement decision; of consecutive decisions to wait, only the first is logged. */
-  #logPlan(decision: PlacementDecision, registry: Registry): void {
-    const isRepeatedWait = decision.kind === DecisionKind.Wait && this.#isWaiting;
-    this.#isWaiting = decision.kind === DecisionKind.Wait;
-    if (!isRepeatedWait) {
-      this.#log(LogDecision.Route, {
-        ...decisionLogFields(decision, this.#context.loadTracker),
-        waitedMs: Math.round(this.#context.clock.now() - this.#request.receivedAtMs),
-        inputDelayMs: Math.round(this.#request.inputDelayMs),
-        parts: this.#request.head.prompt?.sharedParts ?? [],
-        serversRevision: registry.revisions[RecordKind.Server],
-      });
-    }
-  }
-
-  /** Makes one attempt. Returns undefined if it failed; `run` then decides whether to retry. */
-  *#attempt(server: BackendServer, helpers: readonly Helper[]): ProcessBody<RequestEnd | undefined> {
-    const { loadTracker, clock } = this.#context;
+  /**
+   * Makes one attempt and waits for the answer.
+   *
+   * @returns the end of the request; undefined if the attempt failed or its server is silent
+   */
+  *#attempt({ server, helpers, expectedMs }: SendDecision): ProcessBody<RequestEnd | undefined> {
+    const { clock } = this.#context;
     this.#attemptNumber += 1;
     this.#triedServers.add(server.id);
-    const shares = splitJob(this.#job, server, helpers, clock.now() + this.#expectedMs);
+    const shares = splitJob(this.#placement.job, server, helpers, clock.now() + expectedMs);
     recordPlacedShares(this.#context, this.#request.service.engine, shares);
-    const reserved = yield* settle(reserveParts(this.#context, this.#reservationOwner(server), helpers));
+    const owner = this.#reservationOwner(server);
+    const reserved = yield* settle(reserveParts(this.#context, owner, helpers));
     if (!('release' in reserved)) {
       recordEndedShares(this.#context, shares);
       this.#recordReservationFailure(server, reserved);
       return undefined;
     }
-    this.#dispatchedAtMs = clock.now();
-    this.#lastEventAtMs = this.#dispatchedAtMs;
-    this.#isMemoryIdle = false;
-    this.#attemptEvents = 0;
-    let attempt: Attempt | undefined;
-    let result: AttemptResult;
-    try {
-      attempt = this.#dispatch(server, helpers);
-      result = yield* this.#relayAnswer(server, attempt);
-    } finally {
-      attempt?.cancel();
-      reserved.release(ReleaseCause.Ended, clock.now() - this.#lastEventAtMs);
-      recordEndedShares(this.#context, shares);
-    }
-    if (result.failure === undefined) {
-      loadTracker.succeeded(server.id);
-      return result.end;
-    }
-    this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, result.failure);
-    this.#context.metrics.countFailure(result.failure);
-    this.#quarantine.recordFailure(server, result, this.#attemptEvents);
-    const failed = recordFailedServer(this.#context, server, helpers, result);
-    this.#triedServers.delete(server.id);
-    this.#triedServers.add(failed.id);
-    this.#log(LogDecision.Retry, {
-      server: server.id,
-      failed: failed.id,
-      failure: result.failure,
-      detail: result.detail,
-      attempt: this.#attemptNumber,
-      events: this.#attemptEvents,
-      lastEventId: this.#lastEventId ?? -1,
+    const number = this.#attemptNumber;
+    const attempt = startRunningAttempt(this.#context, this.#request, {
+      number,
+      server,
+      helpers,
+      expectedMs,
+      shares,
+      reservation: { name: owner.name, reserved },
+      answer: this.#answer,
+      lastEventId: this.#lastEventId,
+      timeLeftMs: this.#timeLeftMs(),
+      report: (event) => {
+        this.#inbox.send({ type: ForwardMessageType.Attempt, attempt: number, event });
+      },
     });
-    return undefined;
+    this.#attempts = [...this.#attempts, attempt];
+    return yield* this.#awaitAnswer();
   }
 
   #reservationOwner(server: BackendServer): ReservationOwner {
     const attempt = this.#attemptNumber;
     return {
       requestId: this.#request.head.requestId,
-      name: this.#reservationName(),
+      name: `${this.#placement.job.id}-${String(attempt)}`,
       server,
       onIdle: () => {
         this.#inbox.send({ type: ForwardMessageType.MemoryIdle, attempt });
@@ -245,98 +197,160 @@
     });
   }
 
-  /** Returns the name of the running attempt's memory reservation, which is the same at each engine. */
-  #reservationName(): string {
-    return `${this.#job.id}-${String(this.#attemptNumber)}`;
-  }
-
-  #dispatch(server: BackendServer, helpers: readonly Helper[]): Attempt {
-    const attempt = this.#attemptNumber;
-    return dispatchAttempt(this.#context, this.#request, {
-      server,
-      helpers,
-      reservation: this.#reservationName(),
-      lastEventId: this.#lastEventId,
-      timeLeftMs: this.#timeLeftMs(),
-      report: (event) => {
-        this.#inbox.send({ type: ForwardMessageType.Attempt, attempt, event });
-      },
-    });
-  }
-
-  *#relayAnswer(server: BackendServer, attempt: Attempt): ProcessBody<AttemptResult> {
-    const relay =
-      this.#request.route.form === AnswerForm.EventStream
-        ? new StreamRelay(this.#context, this.#answer, server, this.#lastEventId)
-        : new BufferedRelay(this.#context, this.#answer, server, this.#dispatchedAtMs);
+  /**
+   * Waits for the answer of the running attempts.
+   *
+   * @returns the end of the request; undefined if the newest attempt failed or should be followed by another one
+   */
+  *#awaitAnswer(): ProcessBody<RequestEnd | undefined> {
+    const { clock } = this.#context;
     let nextCheckAtMs = 0;
-    for (;;) {
-      const { clock } = this.#context;
-      const timeoutAtMs = Math.max(nextCheckAtMs, this.#lastEventAtMs + this.#inactivityTimeoutMs(relay));
+    for (let newest = this.#attempts.at(-1); newest !== undefined; newest = this.#attempts.at(-1)) {
+      const timeoutAtMs = Math.max(nextCheckAtMs, newest.lastEventAtMs() + this.#inactivityTimeoutMs(newest));
       const waitMs = Math.min(this.#timeLeftMs(), timeoutAtMs - clock.now());
       const received = yield* receiveWithin(this.#inbox, clock, Math.max(0, waitMs));
       if (received.timedOut) {
         if (this.#timeLeftMs() <= 0) {
-          return this.#abandon(attempt, EndReason.DeadlinePassed);
-        }
-        if (!attempt.isSent()) {
-          return { failure: AttemptFailure.NotSent, detail: 'connection timed out' };
+          return this.#abandon(EndReason.DeadlinePassed);
         }
-        if (this.#canFailOver()) {
-          const detail = this.#isMemoryIdle
-            ? 'reserved memory no longer in use'
-            : 'no event within the inactivity timeout';
-          return { failure: AttemptFailure.InDoubt, detail };
+        if (this.#recordInactivity(newest)) {
+          return undefined;
         }
         nextCheckAtMs = clock.now() + FAILOVER_CHECK_INTERVAL_MS;
         continue;
       }
       const message = received.value;
       if (message.type === ForwardMessageType.CallerGone) {
-        return { failure: undefined, end: this.#end(Outcome.Unknown, EndReason.CallerGone, 0) };
+        return this.#end(Outcome.Unknown, EndReason.CallerGone, 0);
       }
       if (message.type === ForwardMessageType.Quarantined) {
-        if (relay.eventCount === 0 && this.#quarantine.find() !== undefined) {
-          return this.#abandon(attempt, EndReason.Quarantined);
+        if (!this.#hasEvents() && this.#quarantine.find() !== undefined) {
+          return this.#abandon(EndReason.Quarantined);
         }
         continue;
       }
-      if (message.attempt !== this.#attemptNumber) {
+      const attempt = this.#attempts.find(({ number }) => number === message.attempt);
+      if (attempt === undefined) {
         continue;
       }
       if (message.type === ForwardMessageType.MemoryIdle) {
-        this.#isMemoryIdle = true;
+        attempt.isMemoryIdle = true;
         continue;
       }
-      const eventsBefore = relay.eventCount;
-      const result = relay.handle(message.event, this.#mayRepeatErrors());
-      this.#attemptEvents = relay.eventCount;
-      this.#lastEventId = relay.lastEventId ?? this.#lastEventId;
-      if (relay.eventCount > eventsBefore) {
-        this.#recordEvent(
-          server,
-          relay,
-          clock.now(),
-          eventsBefore === 0 ? undefined : clock.now() - this.#lastEventAtMs,
-        );
-        this.#lastEventAtMs = clock.now();
-        this.#quarantine.recordEvents(eventsBefore, relay.eventCount);
-      }
-      if (result !== undefined) {
-        this.#fallback = relay.fallback ?? this.#fallback;
-        if (result.failure === undefined && relay.isSuccess) {
-          this.#quarantine.recordAnswer();
-        }
-        return result;
+      const end = this.#handleEvent(attempt, message.event);
+      if (end !== undefined || (attempt === newest && !this.#attempts.includes(attempt))) {
+        return end;
       }
     }
+    return undefined;
+  }
+
+  /** Handles an event of an attempt. Returns the end of the request, or undefined if it is not answered yet. */
+  #handleEvent(attempt: RunningAttempt, event: AttemptEvent): RequestEnd | undefined {
+    const { relay, server } = attempt;
+    const eventsBefore = relay.eventCount;
+    const wasStarted = relay.hasStarted;
+    const result = relay.handle(event, this.#mayRepeatErrors());
+    this.#lastEventId = relay.lastEventId ?? this.#lastEventId;
+    if (relay.eventCount > eventsBefore) {
+      this.#recordEvent(attempt, eventsBefore === 0);
+      this.#quarantine.recordEvents(eventsBefore, relay.eventCount);
+    }
+    const hasBegunSuccess = result === undefined && relay.isSuccess && relay.hasStarted !== wasStarted;
+    if (relay.eventCount > eventsBefore || hasBegunSuccess) {
+      this.#keepOnly(attempt);
+    }
+    if (result === undefined) {
+      return undefined;
+    }
+    this.#fallback = relay.fallback ?? this.#fallback;
+    if (result.failure !== undefined) {
+      this.#fail(attempt, result);
+      return undefined;
+    }
+    if (relay.isSuccess) {
+      this.#quarantine.recordAnswer();
+    }
+    this.#context.loadTracker.succeeded(server.id);
+    return result.end;
+  }
+
+  /**
+   * Considers another attempt after the newest one has been inactive. Its server may only be slow, so that the attempt
+   * goes on beside the next one, unless it was not sent or its memory shows that the server no longer works on it.
+   *
+   * @returns whether another attempt should follow
+   */
+  #recordInactivity(attempt: RunningAttempt): boolean {
+    if (!attempt.isSent()) {
+      this.#fail(attempt, { failure: AttemptFailure.NotSent, detail: 'connection timed out' });
+      return true;
+    }
+    if (!this.#canFailOver(attempt)) {
+      return false;
+    }
+    if (attempt.isMemoryIdle) {
+      const detail = 'reserved memory no longer in use';
+      this.#fail(attempt, { failure: AttemptFailure.InDoubt, detail });
+    } else {
+      const detail = 'no event within the inactivity timeout';
+      this.#recordFault(attempt, { failure: AttemptFailure.InDoubt, detail });
+    }
+    return true;
   }
 
-  /** Ends the request while an attempt is running, which the server may already have begun. */
-  #abandon(attempt: Attempt, reason: EndReason): AttemptResult {
-    const failure = attempt.isSent() ? AttemptFailure.InDoubt : AttemptFailure.NotSent;
-    this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, failure);
-    return { failure: undefined, end: this.#endWithoutAnswer(reason, 0) };
+  /** Ends a failed attempt. */
+  #fail(attempt: RunningAttempt, fault: AttemptFault): void {
+    this.#recordFault(attempt, fault);
+    attempt.end();
+    this.#attempts = this.#attempts.filter((other) => other !== attempt);
+  }
+
+  #recordFault(attempt: RunningAttempt, fault: AttemptFault): void {
+    const { server, helpers, relay, number } = attempt;
+    this.#countAttempt(attempt, fault.failure);
+    this.#context.metrics.countFailure(fault.failure);
+    this.#quarantine.recordFailure(server, fault, relay.eventCount);
+    const failed = recordFailedServer(this.#context, server, helpers, fault);
+    this.#triedServers.delete(server.id);
+    this.#triedServers.add(failed.id);
+    this.#log(LogDecision.Retry, {
+      server: server.id,
+      failed: failed.id,
+      failure: fault.failure,
+      detail: fault.detail,
+      attempt: number,
+      events: relay.eventCount,
+      lastEventId: this.#lastEventId ?? -1,
+    });
+  }
+
+  /** Counts an attempt that did not answer the request. A silent attempt that fails later counts once. */
+  #countAttempt(attempt: RunningAttempt, failure: AttemptFailure): void {
+    if (!attempt.isCounted) {
+      attempt.isCounted = true;
+      this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, failure);
+    }
+  }
+
+  /** Ends all attempts but one, which has made progress; all of them if it is undefined. */
+  #keepOnly(kept: RunningAttempt | undefined): void {
+    const others = this.#attempts.filter((attempt) => attempt !== kept);
+    others.forEach((attempt) => {
+      this.#countAttempt(attempt, attempt.isSent() ? AttemptFailure.InDoubt : AttemptFailure.NotSent);
+      attempt.end();
+    });
+    this.#attempts = kept === undefined ? [] : [kept];
+  }
+
+  #hasEvents(): boolean {
+    return this.#attempts.some(({ relay }) => relay.eventCount > 0);
+  }
+
+  /** Ends the request while attempts are running, which the servers may already have begun. */
+  #abandon(reason: EndReason): RequestEnd {
+    this.#keepOnly(undefined);
+    return this.#endWithoutAnswer(reason, 0);
   }
 
   /** Timing of the answer so far, for the log. */
@@ -344,55 +358,62 @@
     return this.#timing;
   }
 
-  #recordEvent(server: BackendServer, relay: AnswerRelay, atMs: number, pauseMs: number | undefined): void {
-    const { loadTracker, metrics, planner } = this.#context;
-    const { engine } = this.#request.service;
+  #recordEvent(attempt: RunningAttempt, isFirst: boolean): void {
+    const { loadTracker, metrics, planner, clock } = this.#context;
+    const { service, receivedAtMs, rank } = this.#request;
+    const { server, relay, number, expectedMs, dispatchedAtMs } = attempt;
+    const atMs = clock.now();
+    const elapsedMs = atMs - receivedAtMs;
+    const pauseMs = isFirst ? undefined : atMs - attempt.lastEventAtMs();
+    attempt.recordEvent();
     this.#timing = extendTiming(this.#timing, {
       server: server.id,
-      attempt: this.#attemptNumber,
-      expectedMs: this.#dispatchedAtMs - this.#request.receivedAtMs + this.#expectedMs,
-      elapsedMs: atMs - this.#request.receivedAtMs,
+      attempt: number,
+      expectedMs: dispatchedAtMs - receivedAtMs + expectedMs,
+      elapsedMs,
       pauseMs,
     });
-    if (pauseMs === undefined && this.#attemptNumber === 1) {
-      const elapsedMs = atMs - this.#request.receivedAtMs;
-      metrics.observeFirstEvent(this.#request.rank, elapsedMs);
-      metrics.observePrediction(this.#request.rank, this.#expectedMs, elapsedMs);
+    if (isFirst && number === 1) {
+      metrics.observeFirstEvent(rank, elapsedMs);
+      metrics.observePrediction(rank, expectedMs, elapsedMs);
     }
-    const tokens = relay.eventCount * (engine?.stepsPerPass ?? 1);
+    const tokens = relay.eventCount * (service.engine?.stepsPerPass ?? 1);
     const networkDelayMs = server.dataCentre === planner.dataCentre ? 0 : planner.crossRoundTripMs / 2;
-    loadTracker.observed(server.id, engine, { jobId: this.#job.id, tokens, pauseMs, atMs, networkDelayMs });
+    const observed = { jobId: this.#placement.job.id, tokens, pauseMs, atMs, networkDelayMs };
+    loadTracker.observed(server.id, service.engine, observed);
   }
 
   /** Returns whether another server is predicted to answer soon enough, and the retry budget allows the attempt. */
-  #canFailOver(): boolean {
+  #canFailOver(attempt: RunningAttempt): boolean {
     const { clock, retries, entryCount } = this.#context;
     const { route, service } = this.#request;
-    const history = recordFailedAttempt(this.#attemptHistory, AttemptFailure.InDoubt);
+    const history = attempt.isCounted
+      ? this.#attemptHistory
+      : recordFailedAttempt(this.#attemptHistory, AttemptFailure.InDoubt);
     if (!mayRetry(route.repeat, history, route.attempts)) {
       return false;
     }
-    const inputs = this.#plannerInputs({ mayWait: false, replacesAttempt: true });
-    const decision = planJob(this.#job, service, this.#triedServers, inputs, clock.now());
+    const excluded = attempt.isMemoryIdle ? this.#triedServers : this.#excludedServers();
     return (
-      isSoonEnough(decision, route.targetMs, this.#timeLeftMs()) &&
+      this.#placement.hasReplacement(excluded, attempt.isMemoryIdle) &&
       retries.canSpend(service.name, entryCount(), clock.now())
     );
   }
 
-  #inactivityTimeoutMs(relay: AnswerRelay): number {
+  #inactivityTimeoutMs({ relay, expectedMs, isMemoryIdle }: RunningAttempt): number {
     const { route } = this.#request;
     return inactivityTimeoutMs(route, {
       isLast: route.repeat === RepeatPolicy.Once || this.#attemptNumber >= route.attempts,
       hasStarted: relay.hasStarted,
-      expectedMs: this.#expectedMs,
-      isMemoryIdle: this.#isMemoryIdle,
+      expectedMs,
+      isMemoryIdle,
     });
   }
 
   #mayRepeatErrors(): boolean {
     const { route } = this.#request;
-    return route.repeat !== RepeatPolicy.Once && this.#attemptHistory.sent + 1 < route.attempts;
+    const isAnotherLeft = this.#attempts.length > 1 || this.#attemptHistory.sent + 1 < route.attempts;
+    return route.repeat !== RepeatPolicy.Once && isAnotherLeft;
   }
 
   #timeLeftMs(): number {
--- /dev/null
+++ b/packages/forwarding/src/request-placement.ts
@@ -0,0 +1,112 @@
+/** Placement as one request uses it: plans its next attempt, and logs the decisions. */
+import { DecisionKind as LogDecision } from '@toucanbend/observability';
+import {
+  DecisionKind,
+  type Job,
+  planJob,
+  type PlacementDecision,
+  type PlannerInputs,
+} from '@toucanbend/placement';
+import { RecordKind, type Registry } from '@toucanbend/registry';
+import { type CallerRequest, jobOf } from './caller-request.js';
+import { type ForwardingContext } from './context.js';
+import { isSoonEnough } from './failover.js';
+import { decisionLogFields } from './log-fields.js';
+
+/** A decision to send a request to a server. */
+export type SendDecision = Extract<PlacementDecision, { kind: DecisionKind.Send }>;
+
+/** Placement of one request. */
+export interface RequestPlacement {
+  readonly job: Job;
+  /**
+   * Plans the next attempt.
+   *
+   * @param excluded - ids of the servers that get no further attempt
+   * @param mayWait - whether the attempt may be made later
+   * @returns the decision, which is logged
+   */
+  plan(excluded: ReadonlySet<string>, mayWait: boolean): PlacementDecision;
+  /**
+   * Plans an attempt that replaces one whose server is silent.
+   *
+   * @param excluded - ids of the servers that get no further attempt
+   * @param isCancelled - whether the running attempt ends before the next one begins
+   * @returns whether another server is predicted to answer soon enough
+   */
+  hasReplacement(excluded: ReadonlySet<string>, isCancelled: boolean): boolean;
+}
+
+/** Plans the attempts of one request. */
+class LoggedPlacement implements RequestPlacement {
+  readonly #context: ForwardingContext;
+  readonly #request: CallerRequest;
+  readonly job: Job;
+  #isWaiting = false;
+
+  constructor(context: ForwardingContext, request: CallerRequest) {
+    this.#context = context;
+    this.#request = request;
+    this.job = jobOf(request);
+  }
+
+  plan(excluded: ReadonlySet<string>, mayWait: boolean): PlacementDecision {
+    const inputs = this.#inputs({ mayWait, replacesAttempt: false });
+    const decision = planJob(this.job, this.#request.service, excluded, inputs, this.#context.clock.now());
+    this.#log(decision, inputs.registry);
+    return decision;
+  }
+
+  hasReplacement(excluded: ReadonlySet<string>, isCancelled: boolean): boolean {
+    const { route, service, deadlineAtMs } = this.#request;
+    const inputs = this.#inputs({ mayWait: false, replacesAttempt: isCancelled });
+    const nowMs = this.#context.clock.now();
+    const decision = planJob(this.job, service, excluded, inputs, nowMs);
+    return isSoonEnough(decision, route.targetMs, deadlineAtMs - nowMs);
+  }
+
+  #inputs(options: Pick<PlannerInputs, 'mayWait' | 'replacesAttempt'>): PlannerInputs {
+    const { registry, loadTracker, restrictions, planner: settings, hasPartialLoadView } = this.#context;
+    return {
+      registry: registry(),
+      loadTracker,
+      restrictions,
+      settings,
+      hasPartialLoadView: hasPartialLoadView(),
+      ...options,
+    };
+  }
+
+  /** Logs a placement decision; of consecutive decisions to wait, only the first is logged. */
+  #log(decision: PlacementDecision, registry: Registry): void {
+    const isRepeatedWait = decision.kind === DecisionKind.Wait && this.#isWaiting;
+    this.#isWaiting = decision.kind === DecisionKind.Wait;
+    if (isRepeatedWait) {
+      return;
+    }
+    const { clock, loadTracker, logger } = this.#context;
+    const { head, receivedAtMs, inputDelayMs } = this.#request;
+    logger.decision({
+      decision: LogDecision.Route,
+      request: head.requestId,
+      fields: {
+        ...decisionLogFields(decision, loadTracker),
+        waitedMs: Math.round(clock.now() - receivedAtMs),
+        inputDelayMs: Math.round(inputDelayMs),
+        parts: head.prompt?.sharedParts ?? [],
+        serversRevision: registry.revisions[RecordKind.Server],
+      },
+    });
+  }
+}
+
+/**
+ * Creates the placement of a request.
+ *
+ * @param context - the state that all requests share
+ * @param request - the request
+ * @returns the placement
+ */
+export function createRequestPlacement(context: ForwardingContext, request: CallerRequest): RequestPlacement {
+  return new LoggedPlacement(context, request);
+}
--- a/packages/forwarding/test/silent-server.test.ts
+++ b/packages/forwarding/test/silent-server.test.ts
@@ -85,6 +85,7 @@
     },
   );
 
+const ignore: Script = () => undefined;
 const rejectsNotRun: Script = (socket, request) =>
   socket.end(answerTo(request, 'full', { status: 503, headers: ['not-run: 1'] }));
 
@@ -138,4 +139,68 @@
     assert.equal(answer.body, events(1, 4));
     assert.equal(answer.isComplete, true);
   });
+
+  it('completes its stream if it continues before the other server answers', TIMEOUT, async () => {
+    const pausing = pausingStream();
+    const other = new PausingServer(ignore, ignore);
+    const request = await startPaused(paths.stream, pausing, other.script);
+    await until(() => request.body() === events(1, 2));
+    request.clock.advance(SILENCE_MS);
+    await until(() => totalReceived(request.servers) === 2);
+    pausing.resume();
+    const answer = await request.result;
+    assert.equal(answer.body, events(1, 4));
+    assert.equal(answer.isComplete, true);
+    await until(() => other.isCancelled);
+  });
+
+  it('is cancelled when the other server continues the stream', TIMEOUT, async () => {
+    const pausing = pausingStream();
+    const request = await startPaused(paths.stream, pausing, (socket, received) => {
+      beginStream(socket, received);
+      writeChunk(socket, events(3, 4));
+      socket.end('0\r\n\r\n');
+    });
+    await until(() => request.body() === events(1, 2));
+    request.clock.advance(SILENCE_MS);
+    const answer = await request.result;
+    assert.equal(answer.body, events(1, 4));
+    assert.equal(answer.isComplete, true);
+    await until(() => pausing.isCancelled);
+  });
+
+  it('leaves the stream incomplete if it closes the connection after all', TIMEOUT, async () => {
+    const pausing = new PausingServer(pausingStream().script, (socket) => socket.resetAndDestroy());
+    const request = await startPaused(paths.stream, pausing, rejectsNotRun);
+    await until(() => request.body() === events(1, 2));
+    request.clock.advance(SILENCE_MS);
+    await until(() => request.gateway.decisions.some(({ fields }) => fields.failure === 'not_run'));
+    pausing.resume();
+    const answer = await request.result;
+    assert.equal(answer.body, events(1, 2));
+    assert.equal(answer.isComplete, false);
+  });
+
+  it('answers a call whose other server answers with an error', TIMEOUT, async () => {
+    const pausing = new PausingServer(ignore, (socket, received) => socket.end(answerTo(received, 'vane')));
+    const request = await startPaused(paths.repeatable, pausing, (socket, received) =>
+      socket.end(answerTo(received, 'broken', { status: 500 })),
+    );
+    request.clock.advance(SILENCE_MS);
+    await until(() => request.gateway.decisions.some(({ fields }) => fields.detail === 'status 500'));
+    pausing.resume();
+    const answer = await request.result;
+    assert.deepEqual([answer.status, answer.body], [200, 'vane']);
+  });
+
+  it('is cancelled with the other server when the caller disconnects', TIMEOUT, async () => {
+    const pausing = pausingStream();
+    const other = new PausingServer(ignore, ignore);
+    const request = await startPaused(paths.stream, pausing, other.script);
+    await until(() => request.body() === events(1, 2));
+    request.clock.advance(SILENCE_MS);
+    await until(() => totalReceived(request.servers) === 2);
+    request.leave();
+    await until(() => pausing.isCancelled && other.isCancelled);
+  });
 });
