Entry: a stop delivers answers that callers read slowly

A caller that reads a long answer slowly got the first part of it, and then a closed connection, when its entry stopped listening in a planned stop.

Cause: Node's Server.close and closeIdleConnections take a connection as idle once the end of its answer was written, although the bytes may still be queued in this process. They destroy it, and the queued bytes with it.

The entry now records the requests on each connection and closes those without one; a request ends with the close event of its response, which follows the last write to the socket. The listening socket is closed with the method of net.Server, since the one of http.Server closes such connections too; it also keeps the check of slow heads running until the process ends.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -1,11 +1,12 @@
 /** The HTTP server for callers: reads requests, checks them against the catalogue and starts their processes. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { type AddressInfo } from 'node:net';
+import { type AddressInfo, Server as NetServer } from 'node:net';
 import { startProcess } from '@toucanbend/channel';
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind } from '@toucanbend/observability';
 import { type Catalogue, findAccount, findRoute, type Route, type Service } from '@toucanbend/registry';
 import { type CallerAnswer, createCallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
+import { createCallerConnections } from './caller-connections.js';
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type CallerHead } from './dialect.js';
@@ -156,7 +157,6 @@
 /** Reads requests and starts their processes. */
 class RequestReader {
   readonly #context: ForwardingContext;
-  inFlight = 0;
 
   constructor(context: ForwardingContext) {
     this.#context = context;
@@ -166,10 +166,6 @@
     const receivedAtMs = this.#context.clock.now();
     const answer = createCallerAnswer(response, this.#context.isDraining);
     const head = this.#context.dialect.readCaller(message.headers);
-    this.inFlight += 1;
-    response.once('close', () => {
-      this.inFlight -= 1;
-    });
     response.on('error', () => undefined);
     message.on('error', () => undefined);
     const limits = this.#context.registry().catalogue?.limits;
@@ -308,6 +304,7 @@
  */
 export function createCallerPort(context: ForwardingContext): CallerPort {
   const reader = new RequestReader(context);
+  const connections = createCallerConnections();
   const server = createServer(
     {
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -316,19 +313,22 @@
       noDelay: true,
     },
     (message, response) => {
+      connections.received(message, response);
       void reader.handle(message, response);
     },
   );
+  server.on('connection', connections.accepted.bind(connections));
   return {
     listen: (host, port) => listen(server, host, port),
-    inFlight: () => reader.inFlight,
+    inFlight: connections.requestCount.bind(connections),
     applyLimits: ({ limits }) => {
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs;
     },
     stopListening: () => {
-      server.close();
-      server.closeIdleConnections();
+      // The HTTP server's own method also closes connections whose answers are not sent completely.
+      NetServer.prototype.close.call(server);
+      connections.closeIdle();
     },
     close: () => {
       server.close();
