Entry: requests in flight at the end of a planned stop are answered

At the end of the grace period an entry ended with requests in flight. Their callers saw a closed connection, which promises nothing: a caller can't repeat a request that may run only once, even where it had reached no server.

Cause: the drain waited until 0.7 s before the end of the grace period, and then the process ended, whatever was in flight.

The time of each request is now limited to 0.7 s before the end of the grace period as it is by its deadline, and servers are told the shorter time. Then a request that may have run is answered with 502, one that has not run with 503 and a short Retry-After, also if it waits for a server or its body is still on the way; a stream that has begun is broken off. Requests learn of the limit by a message when the drain begins. Requests that wait for a server are planned again at once, as others while draining.

Evidence: the new test of real entries stops one with a call and a stream at silent servers and half an upload.

--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -56,6 +56,9 @@
   readonly retryAfterMs: number;
 }
 
+/** Why a request ends without a server's answer, and the retry delay that is given if it did not run. */
+export type EndCause = Pick<RequestEnd, 'reason' | 'retryAfterMs'>;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 const rejectionStatus: Partial<Record<EndReason, number>> = {
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers: reads requests, checks them against the catalogue and starts their processes. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type AddressInfo, Server as NetServer } from 'node:net';
-import { startProcess } from '@toucanbend/channel';
+import { type Channel, startProcess } from '@toucanbend/channel';
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind } from '@toucanbend/observability';
 import { type Catalogue, findAccount, findRoute, type Route, type Service } from '@toucanbend/registry';
@@ -10,9 +10,11 @@
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type CallerHead } from './dialect.js';
-import { createForwardInbox, ForwardMessageType } from './forward-message.js';
+import { LEAVING_RETRY_MS } from './drain-limit.js';
+import { createForwardInbox, type ForwardMessage, ForwardMessageType } from './forward-message.js';
 import { forwardRequest, type ForwardResult } from './forward.js';
 import { answerLogFields } from './log-fields.js';
+import { createBodyReader } from './body-reader.js';
 import { endToEndHeaders } from './headers.js';
 import { isOverloaded } from './overload.js';
 import { readPendingInput } from './pending-input.js';
@@ -31,6 +33,8 @@
   inFlight(): number;
   /** Applies the limits of a catalogue. */
   applyLimits(catalogue: Catalogue): void;
+  /** Limits the time of the requests, by {@link ForwardingContext.answersUntilMs}. */
+  startDraining(): void;
   /** Accepts no more connections, and closes idle ones. */
   stopListening(): void;
   /** Stops listening and closes all connections. */
@@ -50,9 +54,6 @@
  */
 const CONFIGURATION_WAIT_MS = 400;
 
-/** Retry delay given by a draining entry, in milliseconds; the caller retries at another entry. */
-const LEAVING_RETRY_MS = 20;
-
 /** Retry delay given by an overloaded entry, in milliseconds; the caller retries at another entry. */
 const OVERLOADED_RETRY_MS = 20;
 
@@ -130,38 +131,26 @@
   };
 }
 
-/** Reads a body. Resolves to `BodyTooLong` if it exceeds the limit, and to `CallerGone` if the connection closes early. */
-function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer | EndReason> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    request.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > limitBytes) {
-        resolve(EndReason.BodyTooLong);
-        return;
-      }
-      chunks.push(chunk);
-    });
-    request.on('end', () => {
-      resolve(Buffer.concat(chunks));
-    });
-    request.on('close', () => {
-      resolve(EndReason.CallerGone);
-    });
-  });
-}
-
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 /** Reads requests and starts their processes. */
 class RequestReader {
   readonly #context: ForwardingContext;
+  readonly #inboxes = new Set<Channel<ForwardMessage>>();
+  readonly #bodies = createBodyReader();
 
   constructor(context: ForwardingContext) {
     this.#context = context;
   }
 
+  startDraining(): void {
+    const { clock, answersUntilMs } = this.#context;
+    this.#inboxes.forEach((inbox) => inbox.send({ type: ForwardMessageType.Draining }));
+    clock.after(answersUntilMs() - clock.now(), () => {
+      this.#bodies.abandon();
+    });
+  }
+
   async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const receivedAtMs = this.#context.clock.now();
     const answer = createCallerAnswer(response, this.#context.isDraining);
@@ -169,7 +158,7 @@
     response.on('error', () => undefined);
     message.on('error', () => undefined);
     const limits = this.#context.registry().catalogue?.limits;
-    const body = await readBody(message, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+    const body = await this.#bodies.read(message, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
     if (typeof body === 'string') {
       this.#reject(head, answer, body);
       response.once('finish', () => message.destroy());
@@ -223,6 +212,7 @@
     request: CallerRequest,
   ): void {
     const inbox = createForwardInbox();
+    this.#inboxes.add(inbox);
     const { socket } = message;
     const sendCallerGone = (): void => {
       if (!response.writableFinished) {
@@ -233,6 +223,7 @@
     socket.once('end', sendCallerGone);
     response.once('close', () => {
       socket.off('end', sendCallerGone);
+      this.#inboxes.delete(inbox);
       sendCallerGone();
     });
     const serve = forwardRequest.bind(undefined, this.#context, request, answer, inbox);
@@ -325,6 +316,7 @@
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs;
     },
+    startDraining: reader.startDraining.bind(reader),
     stopListening: () => {
       // The HTTP server's own method also closes connections whose answers are not sent completely.
       NetServer.prototype.close.call(server);
--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -37,6 +37,8 @@
   readonly entryCount: () => number;
   /** Returns whether this entry is draining. */
   readonly isDraining: () => boolean;
+  /** Returns when the requests without an answer are abandoned since this entry ends; Infinity if it is not draining. */
+  readonly answersUntilMs: () => number;
   /** Returns whether requests are accepted; if not, those that arrive on persistent connections are rejected. */
   readonly acceptsRequests: () => boolean;
   /** Returns whether the load updates of some entries do not reach this one. */
--- a/packages/forwarding/src/forward-message.ts
+++ b/packages/forwarding/src/forward-message.ts
@@ -6,6 +6,7 @@
 export type ForwardMessage =
   | { readonly type: ForwardMessageType.CallerGone }
   | { readonly type: ForwardMessageType.Quarantined }
+  | { readonly type: ForwardMessageType.Draining }
   | { readonly type: ForwardMessageType.MemoryIdle; readonly attempt: number }
   | { readonly type: ForwardMessageType.Attempt; readonly attempt: number; readonly event: AttemptEvent };
 
@@ -15,6 +16,8 @@
   CallerGone = 'caller_gone',
   /** A part of prompts was quarantined. */
   Quarantined = 'quarantined',
+  /** This process has begun to drain, which limits the time of its requests. */
+  Draining = 'draining',
   /** An engine no longer uses the memory that is reserved for the attempt. */
   MemoryIdle = 'memory_idle',
   Attempt = 'attempt',
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -5,22 +5,31 @@
 import { DecisionKind, splitJob } from '@toucanbend/placement';
 import { type BackendServer, RepeatPolicy } from '@toucanbend/registry';
 import { type AttemptEvent, AttemptFailure, type AttemptFault } from './attempt.js';
-import { type CallerAnswer, EndReason, endReasonOf, type RequestEnd } from './caller-answer.js';
+import {
+  type CallerAnswer,
+  type EndCause,
+  EndReason,
+  endReasonOf,
+  type RequestEnd,
+} from './caller-answer.js';
 import { type FallbackAnswer } from './answer-relay.js';
 import { type AnswerTiming, emptyTiming, extendTiming } from './log-fields.js';
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
+import { type Expiry, expiryOf } from './drain-limit.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
 import { recordFailedServer } from './failed-server.js';
 import { type ReservationOwner } from './part-reservation.js';
 import { type MemoryError } from './memory.js';
-import { emptyHistory, mayRetry, outcomeOf, recordFailedAttempt } from './attempt-history.js';
+import { mayRetry, outcomeOf, recordFailedAttempt } from './attempt-history.js';
 import { recordEndedShares, recordPlacedShares } from './placed-shares.js';
+import { createRequestAttempts } from './request-attempts.js';
 import { createRequestPlacement, type RequestPlacement, type SendDecision } from './request-placement.js';
 import { reserveParts } from './reservation.js';
 import { type RunningAttempt, startRunningAttempt } from './running-attempt.js';
 import { createRequestQuarantine, type RequestQuarantine } from './request-quarantine.js';
 import { inactivityTimeoutMs } from './inactivity-timeout.js';
+import { waitForChange } from './wait-for-change.js';
 
 /** Interval at which failover is considered again while a server is unresponsive, in milliseconds. */
 const FAILOVER_CHECK_INTERVAL_MS = 250;
@@ -34,9 +43,7 @@
   readonly #inbox: Channel<ForwardMessage>;
   readonly #placement: RequestPlacement;
   readonly #quarantine: RequestQuarantine;
-  /** The running attempts, the newest one last. All but the newest are at servers that have fallen silent. */
-  #attempts: readonly RunningAttempt[] = [];
-  #attemptHistory = emptyHistory;
+  readonly #attempts = createRequestAttempts();
   #attemptNumber = 0;
   #triedServers = new Set<string>();
   /** Id of the last event that was sent to the caller. */
@@ -64,39 +71,42 @@
     try {
       return yield* this.#serve();
     } finally {
-      this.#keepOnly(undefined);
+      this.#attempts.keepOnly(undefined);
     }
   }
 
   *#serve(): ProcessBody<RequestEnd> {
     for (;;) {
       if (this.#timeLeftMs() <= 0) {
-        return this.#endWithoutAnswer(EndReason.DeadlinePassed, 0);
+        return this.#endWithoutAnswer(this.#expiry);
       }
       const quarantined = this.#quarantine.find();
       if (quarantined !== undefined) {
         this.#log(LogDecision.Route, { decided: DecisionKind.Reject, ...quarantined });
-        return this.#endWithoutAnswer(EndReason.Quarantined, quarantined.leftMs);
+        return this.#endWithoutAnswer({ reason: EndReason.Quarantined, retryAfterMs: quarantined.leftMs });
       }
-      const mayWait = !this.#context.isDraining() && this.#attempts.length === 0;
+      const mayWait = !this.#context.isDraining() && this.#attempts.count() === 0;
       const decision = this.#placement.plan(this.#excludedServers(), mayWait);
       let end: RequestEnd | undefined;
       if (decision.kind === DecisionKind.Send) {
         end = yield* this.#attempt(decision);
-      } else if (this.#attempts.length > 0) {
+      } else if (this.#attempts.count() > 0) {
         end = yield* this.#awaitAnswer();
       } else if (decision.kind === DecisionKind.Reject) {
-        return this.#endWithoutAnswer(endReasonOf(decision.reason), decision.retryAfterMs);
+        return this.#endWithoutAnswer({ ...decision, reason: endReasonOf(decision.reason) });
       } else {
-        const isGone = yield* this.#wait(decision.waitMs);
+        const isGone = yield* waitForChange(this.#context, this.#inbox, decision.waitMs);
         if (isGone) {
-          return this.#end(outcomeOf(this.#attemptHistory), EndReason.CallerGone, 0);
+          return this.#end(outcomeOf(this.#attempts.history()), EndReason.CallerGone, 0);
         }
         continue;
       }
       while (end === undefined && !this.#trySpendRetry()) {
-        if (this.#attempts.length === 0) {
-          return this.#endWithoutAnswer(EndReason.AttemptsUsed, RETRY_AFTER_FAILURE_MS);
+        if (this.#attempts.count() === 0) {
+          return this.#endWithoutAnswer({
+            reason: EndReason.AttemptsUsed,
+            retryAfterMs: RETRY_AFTER_FAILURE_MS,
+          });
         }
         end = yield* this.#awaitAnswer();
       }
@@ -110,31 +120,14 @@
     const { retries, entryCount, clock } = this.#context;
     const { route, service } = this.#request;
     return (
-      mayRetry(route.repeat, this.#attemptHistory, route.attempts) &&
+      mayRetry(route.repeat, this.#attempts.history(), route.attempts) &&
       retries.trySpend(service.name, entryCount(), clock.now())
     );
   }
 
-  /**
-   * Waits for a random time between half and all of `waitMs`, or until the caller disconnects or a part is quarantined.
-   * Returns whether the caller disconnected.
-   */
-  *#wait(waitMs: number): ProcessBody<boolean> {
-    const { clock, random } = this.#context;
-    const untilMs = clock.now() + waitMs * (0.5 + random.fraction() / 2);
-    for (let leftMs = untilMs - clock.now(); leftMs > 0; leftMs = untilMs - clock.now()) {
-      const received = yield* receiveWithin(this.#inbox, clock, leftMs);
-      if (!received.timedOut && received.value.type !== ForwardMessageType.Attempt) {
-        return received.value.type === ForwardMessageType.CallerGone;
-      }
-    }
-    return false;
-  }
-
   /** Returns the servers that get no further attempt: those that failed, and those that a running attempt occupies. */
   #excludedServers(): ReadonlySet<string> {
-    const occupied = this.#attempts.flatMap(({ helpers }) => helpers.map((helper) => helper.server.id));
-    return new Set([...this.#triedServers, ...occupied]);
+    return new Set([...this.#triedServers, ...this.#attempts.helperIds()]);
   }
 
   /**
@@ -170,7 +163,7 @@
         this.#inbox.send({ type: ForwardMessageType.Attempt, attempt: number, event });
       },
     });
-    this.#attempts = [...this.#attempts, attempt];
+    this.#attempts.add(attempt);
     return yield* this.#awaitAnswer();
   }
 
@@ -188,7 +181,7 @@
 
   #recordReservationFailure(server: BackendServer, errors: readonly MemoryError[]): void {
     errors.forEach((error) => this.#triedServers.add(error.server));
-    this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, AttemptFailure.NotSent);
+    this.#attempts.countUnsent();
     this.#log(LogDecision.Retry, {
       failure: 'memory_refused',
       server: server.id,
@@ -205,13 +198,13 @@
   *#awaitAnswer(): ProcessBody<RequestEnd | undefined> {
     const { clock } = this.#context;
     let nextCheckAtMs = 0;
-    for (let newest = this.#attempts.at(-1); newest !== undefined; newest = this.#attempts.at(-1)) {
+    for (let newest = this.#attempts.newest(); newest !== undefined; newest = this.#attempts.newest()) {
       const timeoutAtMs = Math.max(nextCheckAtMs, newest.lastEventAtMs() + this.#inactivityTimeoutMs(newest));
       const waitMs = Math.min(this.#timeLeftMs(), timeoutAtMs - clock.now());
       const received = yield* receiveWithin(this.#inbox, clock, Math.max(0, waitMs));
       if (received.timedOut) {
         if (this.#timeLeftMs() <= 0) {
-          return this.#abandon(EndReason.DeadlinePassed);
+          return this.#abandon(this.#expiry);
         }
         if (this.#recordInactivity(newest)) {
           return undefined;
@@ -224,12 +217,15 @@
         return this.#end(Outcome.Unknown, EndReason.CallerGone, 0);
       }
       if (message.type === ForwardMessageType.Quarantined) {
-        if (!this.#hasEvents() && this.#quarantine.find() !== undefined) {
-          return this.#abandon(EndReason.Quarantined);
+        if (!this.#attempts.hasEvents() && this.#quarantine.find() !== undefined) {
+          return this.#abandon({ reason: EndReason.Quarantined, retryAfterMs: 0 });
         }
         continue;
       }
-      const attempt = this.#attempts.find(({ number }) => number === message.attempt);
+      if (message.type === ForwardMessageType.Draining) {
+        continue;
+      }
+      const attempt = this.#attempts.find(message.attempt);
       if (attempt === undefined) {
         continue;
       }
@@ -238,7 +234,7 @@
         continue;
       }
       const end = this.#handleEvent(attempt, message.event);
-      if (end !== undefined || (attempt === newest && !this.#attempts.includes(attempt))) {
+      if (end !== undefined || (attempt === newest && this.#attempts.find(attempt.number) === undefined)) {
         return end;
       }
     }
@@ -258,7 +254,7 @@
     }
     const hasBegunSuccess = result === undefined && relay.isSuccess && relay.hasStarted !== wasStarted;
     if (relay.eventCount > eventsBefore || hasBegunSuccess) {
-      this.#keepOnly(attempt);
+      this.#attempts.keepOnly(attempt);
     }
     if (result === undefined) {
       return undefined;
@@ -302,13 +298,12 @@
   /** Ends a failed attempt. */
   #fail(attempt: RunningAttempt, fault: AttemptFault): void {
     this.#recordFault(attempt, fault);
-    attempt.end();
-    this.#attempts = this.#attempts.filter((other) => other !== attempt);
+    this.#attempts.end(attempt);
   }
 
   #recordFault(attempt: RunningAttempt, fault: AttemptFault): void {
     const { server, helpers, relay, number } = attempt;
-    this.#countAttempt(attempt, fault.failure);
+    this.#attempts.countFailure(attempt, fault.failure);
     this.#context.metrics.countFailure(fault.failure);
     this.#quarantine.recordFailure(server, fault, relay.eventCount);
     const failed = recordFailedServer(this.#context, server, helpers, fault);
@@ -325,32 +320,10 @@
     });
   }
 
-  /** Counts an attempt that did not answer the request. A silent attempt that fails later counts once. */
-  #countAttempt(attempt: RunningAttempt, failure: AttemptFailure): void {
-    if (!attempt.isCounted) {
-      attempt.isCounted = true;
-      this.#attemptHistory = recordFailedAttempt(this.#attemptHistory, failure);
-    }
-  }
-
-  /** Ends all attempts but one, which has made progress; all of them if it is undefined. */
-  #keepOnly(kept: RunningAttempt | undefined): void {
-    const others = this.#attempts.filter((attempt) => attempt !== kept);
-    others.forEach((attempt) => {
-      this.#countAttempt(attempt, attempt.isSent() ? AttemptFailure.InDoubt : AttemptFailure.NotSent);
-      attempt.end();
-    });
-    this.#attempts = kept === undefined ? [] : [kept];
-  }
-
-  #hasEvents(): boolean {
-    return this.#attempts.some(({ relay }) => relay.eventCount > 0);
-  }
-
   /** Ends the request while attempts are running, which the servers may already have begun. */
-  #abandon(reason: EndReason): RequestEnd {
-    this.#keepOnly(undefined);
-    return this.#endWithoutAnswer(reason, 0);
+  #abandon(end: EndCause): RequestEnd {
+    this.#attempts.keepOnly(undefined);
+    return this.#endWithoutAnswer(end);
   }
 
   /** Timing of the answer so far, for the log. */
@@ -388,8 +361,8 @@
     const { clock, retries, entryCount } = this.#context;
     const { route, service } = this.#request;
     const history = attempt.isCounted
-      ? this.#attemptHistory
-      : recordFailedAttempt(this.#attemptHistory, AttemptFailure.InDoubt);
+      ? this.#attempts.history()
+      : recordFailedAttempt(this.#attempts.history(), AttemptFailure.InDoubt);
     if (!mayRetry(route.repeat, history, route.attempts)) {
       return false;
     }
@@ -412,24 +385,28 @@
 
   #mayRepeatErrors(): boolean {
     const { route } = this.#request;
-    const isAnotherLeft = this.#attempts.length > 1 || this.#attemptHistory.sent + 1 < route.attempts;
+    const isAnotherLeft = this.#attempts.count() > 1 || this.#attempts.history().sent + 1 < route.attempts;
     return route.repeat !== RepeatPolicy.Once && isAnotherLeft;
   }
 
+  get #expiry(): Expiry {
+    return expiryOf(this.#request.deadlineAtMs, this.#context.answersUntilMs());
+  }
+
   #timeLeftMs(): number {
-    return this.#request.deadlineAtMs - this.#context.clock.now();
+    return this.#expiry.atMs - this.#context.clock.now();
   }
 
   /**
    * Ends a request for which no complete answer arrived: with the error response of a server if one was kept, else with
-   * `reason`.
+   * its reason.
    */
-  #endWithoutAnswer(reason: EndReason, retryAfterMs: number): RequestEnd {
+  #endWithoutAnswer({ reason, retryAfterMs }: EndCause): RequestEnd {
     if (this.#fallback !== undefined && !this.#answer.hasBegun()) {
       this.#answer.send(this.#fallback.start, this.#fallback.body);
       return this.#end(Outcome.Complete, EndReason.Answered, 0);
     }
-    const outcome = this.#answer.hasBegun() ? Outcome.Unknown : outcomeOf(this.#attemptHistory);
+    const outcome = this.#answer.hasBegun() ? Outcome.Unknown : outcomeOf(this.#attempts.history());
     const end = this.#end(outcome, reason, outcome === Outcome.NotRun ? retryAfterMs : 0);
     this.#answer.fail(end);
     return end;
--- /dev/null
+++ b/packages/forwarding/src/planner-inputs.ts
@@ -0,0 +1,25 @@
+/** Collects the inputs of a placement decision. */
+import { type PlannerInputs } from '@toucanbend/placement';
+import { type ForwardingContext } from './context.js';
+
+/**
+ * Collects the inputs of a placement decision.
+ *
+ * @param context - the state that all requests share
+ * @param options - whether the job may wait, and whether it replaces a running attempt
+ * @returns the inputs
+ */
+export function plannerInputs(
+  context: ForwardingContext,
+  options: Pick<PlannerInputs, 'mayWait' | 'replacesAttempt'>,
+): PlannerInputs {
+  const { registry, loadTracker, restrictions, planner: settings, hasPartialLoadView } = context;
+  return {
+    registry: registry(),
+    loadTracker,
+    restrictions,
+    settings,
+    hasPartialLoadView: hasPartialLoadView(),
+    ...options,
+  };
+}
--- a/packages/forwarding/src/request-placement.ts
+++ b/packages/forwarding/src/request-placement.ts
@@ -1,17 +1,12 @@
 /** Placement as one request uses it: plans its next attempt, and logs the decisions. */
 import { DecisionKind as LogDecision } from '@toucanbend/observability';
-import {
-  DecisionKind,
-  type Job,
-  planJob,
-  type PlacementDecision,
-  type PlannerInputs,
-} from '@toucanbend/placement';
+import { DecisionKind, type Job, planJob, type PlacementDecision } from '@toucanbend/placement';
 import { RecordKind, type Registry } from '@toucanbend/registry';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { isSoonEnough } from './failover.js';
 import { decisionLogFields } from './log-fields.js';
+import { plannerInputs } from './planner-inputs.js';
 
 /** A decision to send a request to a server. */
 export type SendDecision = Extract<PlacementDecision, { kind: DecisionKind.Send }>;
@@ -51,7 +46,7 @@
   }
 
   plan(excluded: ReadonlySet<string>, mayWait: boolean): PlacementDecision {
-    const inputs = this.#inputs({ mayWait, replacesAttempt: false });
+    const inputs = plannerInputs(this.#context, { mayWait, replacesAttempt: false });
     const decision = planJob(this.job, this.#request.service, excluded, inputs, this.#context.clock.now());
     this.#log(decision, inputs.registry);
     return decision;
@@ -59,24 +54,12 @@
 
   hasReplacement(excluded: ReadonlySet<string>, isCancelled: boolean): boolean {
     const { route, service, deadlineAtMs } = this.#request;
-    const inputs = this.#inputs({ mayWait: false, replacesAttempt: isCancelled });
+    const inputs = plannerInputs(this.#context, { mayWait: false, replacesAttempt: isCancelled });
     const nowMs = this.#context.clock.now();
     const decision = planJob(this.job, service, excluded, inputs, nowMs);
     return isSoonEnough(decision, route.targetMs, deadlineAtMs - nowMs);
   }
 
-  #inputs(options: Pick<PlannerInputs, 'mayWait' | 'replacesAttempt'>): PlannerInputs {
-    const { registry, loadTracker, restrictions, planner: settings, hasPartialLoadView } = this.#context;
-    return {
-      registry: registry(),
-      loadTracker,
-      restrictions,
-      settings,
-      hasPartialLoadView: hasPartialLoadView(),
-      ...options,
-    };
-  }
-
   /** Logs a placement decision; of consecutive decisions to wait, only the first is logged. */
   #log(decision: PlacementDecision, registry: Registry): void {
     const isRepeatedWait = decision.kind === DecisionKind.Wait && this.#isWaiting;
--- a/packages/forwarding/test/planned-stop.test.ts
+++ b/packages/forwarding/test/planned-stop.test.ts
@@ -3,9 +3,19 @@
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
-import { paths, startTestGateway, type TestGateway, type TestGatewayOptions } from './support/gateway.js';
+import { createManualClock, type ManualClock } from '@toucanbend/core';
+import {
+  catalogue,
+  paths,
+  startTestGateway,
+  type TestGateway,
+  type TestGatewayOptions,
+} from './support/gateway.js';
 import {
   answerTo,
+  callAs,
+  type CallerResult,
+  firstThen,
   type Script,
   type ScriptedServer,
   startScriptedServer,
@@ -93,3 +103,113 @@
     assert.equal(bodyOf(reader.text()).length, LARGE_ANSWER_BYTES);
   });
 });
+
+/** Time from the start of a planned stop to the end of its requests, in milliseconds. */
+const STOP_MS = 2_000;
+
+interface StoppableDeployment extends TestDeployment {
+  readonly clock: ManualClock;
+  call(path: string, headers?: Readonly<Record<string, string>>): Promise<CallerResult>;
+  startDraining(): void;
+  /** Advances the clock, and runs the timers that are set meanwhile for no later time until the action is done. */
+  passTime<Value>(byMs: number, action: Promise<Value>): Promise<Value>;
+}
+
+async function startStoppable(
+  script: Script,
+  options: TestGatewayOptions = {},
+): Promise<StoppableDeployment> {
+  const clock = createManualClock();
+  const deployment = await startDeployment(script, { ...options, clock });
+  const { gateway } = deployment;
+  return {
+    ...deployment,
+    clock,
+    call: (path, headers = {}) => callAs({ port: gateway.port, path, headers }).result,
+    startDraining: () => {
+      gateway.startDraining(clock.now() + STOP_MS);
+    },
+    passTime: async (byMs, action) => {
+      let isDone = false;
+      const done = action.finally(() => {
+        isDone = true;
+      });
+      clock.advance(byMs);
+      await until(() => {
+        clock.advance(0);
+        return isDone;
+      });
+      return done;
+    },
+  };
+}
+
+const reasonOf = ({ body }: CallerResult): unknown => JSON.parse(body).reason;
+const isSilent: Script = () => undefined;
+const EVENT = 'id: 1\ndata: token 1\n\n';
+const beginsStream: Script = (socket, request) => {
+  socket.write(answerTo(request, `${EVENT}id: 2`).slice(0, -'id: 2'.length));
+};
+
+describe('a request that is in flight at the end of a planned stop', () => {
+  it('is answered as one that may have run if it was sent to a server', async () => {
+    const { server, call, startDraining, passTime } = await startStoppable(isSilent);
+    const whenAnswered = call(paths.once);
+    await until(() => server.received.length === 1);
+    startDraining();
+    const answer = await passTime(STOP_MS, whenAnswered);
+    assert.deepEqual([answer.status, reasonOf(answer)], [502, 'leaving']);
+    assert.deepEqual([answer.isComplete, answer.headers['retry-after']], [true, undefined]);
+  });
+
+  it('ends at its deadline if that is earlier', async () => {
+    const { server, call, startDraining, passTime } = await startStoppable(isSilent);
+    const whenAnswered = call(paths.once, { timeout: String(STOP_MS / 2) });
+    await until(() => server.received.length === 1);
+    startDraining();
+    assert.equal((await passTime(STOP_MS / 2, whenAnswered)).status, 504);
+  });
+
+  it('is not ended as complete if it is a stream that has begun', async () => {
+    const { gateway, startDraining, passTime } = await startStoppable(beginsStream);
+    let body = '';
+    const { result } = callAs({ port: gateway.port, path: paths.stream }, (text) => (body = text));
+    await until(() => body.includes('token 1'));
+    startDraining();
+    const answer = await passTime(STOP_MS, result);
+    assert.deepEqual([answer.status, answer.isComplete], [200, false]);
+  });
+
+  it('is rejected as not run if its body is still on the way', async () => {
+    const { gateway, server, clock, startDraining } = await startStoppable(isSilent);
+    const caller = await connectTo(gateway);
+    const reader = startReading(caller);
+    caller.write(`${headOf(paths.once, 9)}half`);
+    await until(() => gateway.callerPort.inFlight() === 1);
+    startDraining();
+    clock.advance(STOP_MS);
+    await until(reader.isClosed);
+    assert.match(reader.text(), /^HTTP\/1.1 503 .*retry-after: 0\.020/is);
+    assert.equal(server.received.length, 0);
+  });
+});
+
+describe('a request that waits for a server when a planned stop begins', () => {
+  it('is rejected at once as not run, with a retry delay', async () => {
+    const turnsAwayFirst = firstThen((socket, request) => {
+      const headers = ['not-run: 1', 'back-off-ms: 1000'];
+      socket.end(answerTo(request, 'full', { status: 503, headers }));
+    }, isSilent);
+    const routes = catalogue.routes.map((route) => ({ ...route, targetMs: 20_000 }));
+    const deployment = await startStoppable(turnsAwayFirst, { initialCatalogue: { ...catalogue, routes } });
+    const { gateway, server, call, startDraining } = deployment;
+    assert.equal((await call(paths.once)).status, 503);
+    const whenAnswered = call(paths.once);
+    await until(() => gateway.decisions.some(({ fields }) => fields.decided === 'wait'));
+    startDraining();
+    const answer = await whenAnswered;
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.equal(server.received.length, 1);
+  });
+});
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -151,7 +151,8 @@
   /** Handles another entry's update about a restriction of a server. */
   receiveRestriction(update: RestrictionUpdate): void;
   readonly callerPort: CallerPort;
-  startDraining(): void;
+  /** Starts a planned stop, which abandons the requests without an answer at a time, if it is given. */
+  startDraining(answersUntilMs?: number): void;
   stopAccepting(): void;
   /** Puts a catalogue into the registry. */
   setCatalogue(value: Catalogue): void;
@@ -218,6 +219,7 @@
   const decisions: DecisionLine[] = [];
   const updates: LoadUpdate[] = [];
   let isLeaving = false;
+  let requestsUntilMs = Number.POSITIVE_INFINITY;
   let takesRequests = true;
   const records: RegistryRecord[] = ports.map((port, index) => serverRecord(`s${String(index)}`, port));
   if (initialCatalogue !== null) {
@@ -260,6 +262,7 @@
     waitForConfiguration: () => (waitsForCatalogue ? catalogueKnown : Promise.resolve()),
     entryCount: () => 1,
     isDraining: () => isLeaving,
+    answersUntilMs: () => requestsUntilMs,
     acceptsRequests: () => takesRequests,
     hasPartialLoadView: () => false,
     broadcast: (update) => {
@@ -287,8 +290,12 @@
       registry = mergeRecords(registry, [record], {});
       resolveCatalogue();
     },
-    startDraining: () => {
+    startDraining: (answersUntilMs) => {
       isLeaving = true;
+      if (answersUntilMs !== undefined) {
+        requestsUntilMs = answersUntilMs;
+        callerPort.startDraining();
+      }
     },
     close: () => {
       callerPort.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,7 +38,7 @@
 import { createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
 import { Registry as MetricsRegistry } from 'prom-client';
 import { logRegistryChanges, readyServers, describeRegistry } from './registry-report.js';
-import { drainRequests } from './drain.js';
+import { answersUntil, drainRequests } from './drain.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
@@ -104,6 +104,7 @@
   const loadTracker = createLoadTracker();
   const random = createRandom(options.seed);
   let isLeaving = false;
+  let answersUntilMs = Number.POSITIVE_INFINITY;
   let isClosed = false;
   const engineOf = (name: string): EngineParameters | undefined =>
     holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
@@ -203,6 +204,7 @@
         : Promise.resolve(),
     entryCount: () => Math.max(1, listEntries(holder.current()).length),
     isDraining: () => isLeaving,
+    answersUntilMs: () => answersUntilMs,
     acceptsRequests: () => !isClosed,
     hasPartialLoadView: () =>
       peers.linkCount() < MIN_LINKED_SHARE * (listEntries(holder.current()).length - 1),
@@ -285,6 +287,8 @@
   return {
     leave: async () => {
       isLeaving = true;
+      answersUntilMs = answersUntil(clock.now(), options.graceMs);
+      port.startDraining();
       registrar.stop();
       const close = (): void => {
         isClosed = true;
