Entry: an answer without a length that is broken off is reset

The caller of an answer whose end only the close of the connection shows took it as complete when the entry broke it off: at the end of a planned stop, at the request's deadline, and when a stream could not go on at another server.

Cause: the entry closed the connection in order, which ends such an answer as complete.

The connection is now reset if the answer that has begun was not framed. Answers in chunks or with a length are closed as before, since an orderly close doesn't complete them and delivers what was written before.

Evidence: the new test breaks a stream off after its first event. Before: "+ 'ended' / - 'ECONNRESET'". Now the caller gets a reset. Bytes that the caller hasn't read by then may be lost with the reset.

--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -109,7 +109,10 @@
   end(): void;
   /** Sends a complete answer with its head and body. */
   send(head: AnswerHeadLine, body: Buffer): void;
-  /** Sends an error in place of a server's answer; if an answer has begun, closes the connection instead. */
+  /**
+   * Sends an error in place of a server's answer. If an answer has begun, closes the connection instead, in a way that
+   * does not complete the answer.
+   */
   fail(end: RequestEnd): void;
 }
 
@@ -125,13 +128,24 @@
     const closing = isDraining() ? { Connection: 'close' } : {};
     response.writeHead(status, { ...headersByName(headers), ...extra, ...closing });
   };
+  let isFramed = true;
   const dropFraming = (head: AnswerHeadLine): void => {
-    if (!head.isFramed) {
+    isFramed = head.isFramed;
+    if (!isFramed) {
       response.shouldKeepAlive = false;
       response.removeHeader('Content-Length');
       response.removeHeader('Transfer-Encoding');
     }
   };
+  const breakOff = (): void => {
+    const { socket } = response;
+    if (isFramed || socket === null) {
+      response.destroy();
+      return;
+    }
+    // An orderly close would end an answer without a length as complete.
+    socket.resetAndDestroy();
+  };
   return {
     hasBegun: () => response.headersSent,
     begin: (head) => {
@@ -152,7 +166,7 @@
     },
     fail: (end) => {
       if (response.headersSent) {
-        response.destroy();
+        breakOff();
         return;
       }
       const retryAfter =
--- a/packages/forwarding/test/planned-stop.test.ts
+++ b/packages/forwarding/test/planned-stop.test.ts
@@ -180,6 +180,22 @@
     assert.deepEqual([answer.status, answer.isComplete], [200, false]);
   });
 
+  it('is reset if it is a stream that has begun and whose end only the close of the connection shows', async () => {
+    const { gateway, startDraining, passTime } = await startStoppable((socket, request) => {
+      socket.write(answerTo(request, EVENT, { isFramed: false }));
+    });
+    const caller = await connectTo(gateway);
+    const reader = startReading(caller);
+    const whenEnded = once(caller, 'end').then(
+      () => 'ended',
+      (error: unknown) => (error as NodeJS.ErrnoException).code,
+    );
+    caller.write(headOf(paths.stream));
+    await until(() => reader.text().includes('token 1'));
+    startDraining();
+    assert.equal(await passTime(STOP_MS, whenEnded), 'ECONNRESET');
+  });
+
   it('is rejected as not run if its body is still on the way', async () => {
     const { gateway, server, clock, startDraining } = await startStoppable(isSilent);
     const caller = await connectTo(gateway);
