Entry: a stop waits for requests that are just arriving

A request whose last byte arrived while an entry ended its planned stop was read and then cut without an answer.

The drain now ends when two checks in a row find no connection in use. A connection is in use also while a part of a head has arrived, and before its first request, which usually follows at once; the check of slow heads bounds both. Requests that arrive then are rejected as not run, as before.

The tests of the port show that a request whose head is half read when the port stops listening, and the first request of a connection, get 503 with Retry-After, and that a kept connection without a request is closed; they can't run on the earlier code, which does not count connections.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -31,6 +31,8 @@
   listen(host: string, port: number): Promise<number>;
   /** Returns the number of requests that are being read or are in flight. */
   inFlight(): number;
+  /** Returns the number of connections that are in use, also by a request of which only a part, or nothing, has arrived. */
+  busyConnections(): number;
   /** Applies the limits of a catalogue. */
   applyLimits(catalogue: Catalogue): void;
   /** Limits the time of the requests, by {@link ForwardingContext.answersUntilMs}. */
@@ -312,6 +314,7 @@
   return {
     listen: (host, port) => listen(server, host, port),
     inFlight: connections.requestCount.bind(connections),
+    busyConnections: connections.busyCount.bind(connections),
     applyLimits: ({ limits }) => {
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/packages/forwarding/test/planned-stop.test.ts
+++ b/packages/forwarding/test/planned-stop.test.ts
@@ -107,6 +107,46 @@
   });
 });
 
+/** Part of the head of a request. */
+const HALF_HEAD = headOf(paths.once).slice(0, 40);
+
+describe('a connection of a caller, when the port stops listening', () => {
+  for (const [name, isUsed, text] of [
+    ['without a first request', false, ''],
+    ['with part of the head of its first request', false, HALF_HEAD],
+    ['with part of the head of a later request', true, HALF_HEAD],
+  ] as const) {
+    it(`is in use ${name}, and the request is rejected as not run`, async () => {
+      const { gateway } = await startDeployment((socket, request) => socket.end(answerTo(request, 'a vane')));
+      const { callerPort } = gateway;
+      const caller = await connectTo(gateway);
+      const reader = startReading(caller);
+      if (isUsed) {
+        caller.write(headOf(paths.once));
+        await until(() => reader.text().endsWith('a vane') && callerPort.busyConnections() === 0);
+      }
+      caller.write(text);
+      await until(() => callerPort.busyConnections() === 1);
+      gateway.stopAccepting();
+      gateway.callerPort.stopListening();
+      caller.write(headOf(paths.once).slice(text.length));
+      await until(() => reader.isClosed() || reader.text().includes(' 503 '));
+      assert.match(reader.text(), /HTTP\/1.1 503 .*retry-after: 0\.020/is);
+    });
+  }
+
+  it('is closed if it is kept open without a request', async () => {
+    const { gateway } = await startDeployment((socket, request) => socket.end(answerTo(request, 'a vane')));
+    const caller = await connectTo(gateway);
+    const reader = startReading(caller);
+    caller.write(headOf(paths.once));
+    await until(() => reader.text().endsWith('a vane') && gateway.callerPort.busyConnections() === 0);
+    gateway.callerPort.stopListening();
+    await until(reader.isClosed);
+    assert.ok(reader.isClosed());
+  });
+});
+
 /** Time from the start of a planned stop to the end of its requests, in milliseconds. */
 const STOP_MS = 2_000;
 
--- a/packages/gateway/src/drain.ts
+++ b/packages/gateway/src/drain.ts
@@ -27,24 +27,27 @@
   readonly logger: Logger;
   /** Grace period from the signal to stop until the process is killed, in milliseconds. */
   readonly graceMs: number;
-  /** Number of requests that are being received or processed. */
-  readonly inFlight: () => number;
+  /** Number of connections on which a request is being received or processed. */
+  readonly busyConnections: () => number;
   /** Stops listening and rejects further requests on keep-alive connections. */
   readonly close: () => void;
 }
 
 /**
- * Waits until the load balancer has had time to stop sending connections and no request is in flight, or until the
- * grace period is nearly over. A request is in flight until its answer has been handed to the operating system.
+ * Waits until the load balancer has had time to stop sending connections and no connection is in use at two
+ * checks in a row, or until the grace period is nearly over. A connection is in use until the answer to its request has
+ * been handed to the operating system.
  *
  * @param options - dependencies and callbacks
  * @returns a promise that resolves when the process may end
  */
 export function drainRequests(options: DrainOptions): Promise<void> {
-  const { clock, logger, graceMs, inFlight, close } = options;
+  const { clock, logger, graceMs, busyConnections, close } = options;
   const startedAtMs = clock.now();
   let isClosed = false;
-  logger.info('leaving', { inFlight: inFlight() });
+  /** Whether no connection was in use at the last check. */
+  let wasQuiet = false;
+  logger.info('leaving', { busyConnections: busyConnections() });
   return new Promise((resolve) => {
     const check = (): void => {
       const elapsedMs = clock.now() - startedAtMs;
@@ -52,12 +55,13 @@
         isClosed = true;
         close();
       }
-      const isDone = elapsedMs >= BALANCER_NOTICE_MS && inFlight() === 0;
-      if (isDone || elapsedMs >= graceMs - EXIT_MARGIN_MS) {
-        logger.info('stopped', { inFlight: inFlight(), elapsedMs: Math.round(elapsedMs) });
-        clock.after(DRAIN_CHECK_INTERVAL_MS, resolve);
+      const isQuiet = isClosed && busyConnections() === 0;
+      if ((isQuiet && wasQuiet) || elapsedMs >= graceMs - EXIT_MARGIN_MS) {
+        logger.info('stopped', { busyConnections: busyConnections(), elapsedMs: Math.round(elapsedMs) });
+        resolve();
         return;
       }
+      wasQuiet = isQuiet;
       clock.after(DRAIN_CHECK_INTERVAL_MS, check);
     };
     check();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -294,7 +294,8 @@
         isClosed = true;
         port.stopListening();
       };
-      await drainRequests({ clock, logger, graceMs: options.graceMs, inFlight: port.inFlight, close });
+      const { graceMs } = options;
+      await drainRequests({ clock, logger, graceMs, busyConnections: port.busyConnections, close });
       follower.stop();
     },
   };
