Entry: an answer without a body announces no length

A caller waited for bytes that never came, or saw an incomplete answer, where a server sent a body with status 204.

Cause: the entry forwarded the length of the bytes that it had read, while Node sends no body with this status.

Answers with status 204 and 304 are now sent without a length. The new test sends unusual heads from servers and from callers and checks that each request, and the next one, gets a complete answer. Before, 50 of its 51 cases passed, and this one failed: "Expected values to be strictly equal: false !== true" (isComplete). Now all pass.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -87,7 +87,7 @@
 const MAX_LOGGED_ID_LENGTH = 64;
 
 /** Statuses whose answers have no body (RFC 9112, section 6.3). */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+export const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 function methodHasBody(options: AttemptOptions): boolean {
   return options.body.length > 0 || options.method === 'POST' || options.method === 'PUT';
--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -2,6 +2,7 @@
 import { type ServerResponse } from 'node:http';
 import { Outcome } from '@toucanbend/core';
 import { RejectionReason } from '@toucanbend/placement';
+import { BODILESS_STATUSES } from './attempt.js';
 import { type RawHeaders } from './dialect.js';
 import { headersByName } from './headers.js';
 
@@ -160,7 +161,9 @@
     },
     send: (head, body) => {
       dropFraming(head);
-      const length = head.isFramed ? { 'Content-Length': String(body.length) } : {};
+      // Node sends no body with these statuses, so that a length would announce bytes that never follow.
+      const hasLength = head.isFramed && !BODILESS_STATUSES.has(head.status);
+      const length = hasLength ? { 'Content-Length': String(body.length) } : {};
       writeHead(head.status, head.headers, length);
       response.end(body);
     },
