Wire: an address that cannot be dialled is a LinkError

Callers saw requests cut off: an item that another writer had left among the registered entries, with the address 127.0.0.1:99999, ended every entry that read it, and ended it again after each start.

Node's connect throws at once where a port is out of range or missing, so the promise of the dial was rejected instead of resolved with an error. Nothing handles that rejection where links are dialled periodically, and an unhandled rejection ends the process. The pool also kept the rejected promise, so that the address stayed unreachable for good.

The exception is now turned into LinkErrorKind.Unreachable where the socket is created, which covers every source of addresses: members, seeds and peers.

The test failed before:

an address that cannot be dialled prevents the link, and ends no process RangeError [ERR_SOCKET_BAD_PORT]: Port should be >= 0 and < 65536. Received type number (99999).

--- a/packages/wire/src/endpoint.ts
+++ b/packages/wire/src/endpoint.ts
@@ -1,7 +1,7 @@
 /** Opens links, either by dialling a peer or by listening for connections. */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { type Clock } from '@toucanbend/core';
-import { err, ok, type Result } from 'neverthrow';
+import { err, ok, Result, ResultAsync } from 'neverthrow';
 import {
   handshakeAsListener,
   handshakeAsDialler,
@@ -58,9 +58,18 @@
   readonly traffic: LinkTraffic;
 }
 
-function openSocket(address: Address, clock: Clock, timeoutMs: number): Promise<Result<Socket, LinkError>> {
+/** Begins to connect; Node throws where the address is invalid, such as a port out of range. */
+const beginConnecting = Result.fromThrowable(
+  ({ host, port }: Address): Socket => connect({ host, port, noDelay: true }),
+  (error): LinkError => ({ kind: LinkErrorKind.Unreachable, message: String(error) }),
+);
+
+function awaitConnection(
+  socket: Socket,
+  clock: Clock,
+  timeoutMs: number,
+): Promise<Result<Socket, LinkError>> {
   return new Promise((resolve) => {
-    const socket = connect({ host: address.host, port: address.port, noDelay: true });
     const fail = (kind: LinkErrorKind, message: string): void => {
       cancel();
       socket.destroy();
@@ -90,7 +99,9 @@
  */
 export async function dial(address: Address, options: EndpointOptions): Promise<Result<Link, LinkError>> {
   const { clock, settings, identity, traffic } = options;
-  const socket = await openSocket(address, clock, settings.handshakeTimeoutMs);
+  const socket = await beginConnecting(address).asyncAndThen(
+    (connecting) => new ResultAsync(awaitConnection(connecting, clock, settings.handshakeTimeoutMs)),
+  );
   if (socket.isErr()) {
     return err(socket.error);
   }
--- a/packages/wire/test/link.test.ts
+++ b/packages/wire/test/link.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, test } from 'node:test';
 import { createSystemClock } from '@toucanbend/core';
 import {
+  createLinkPool,
   createLinkTraffic,
   defaultLinkSettings,
   dial,
@@ -12,6 +13,7 @@
   FrameType,
   type Link,
   LinkEnd,
+  LinkErrorKind,
   listenForLinks,
   NodeRole,
 } from '../src/index.js';
@@ -66,6 +68,22 @@
   assert.equal(accepted, 0);
 });
 
+test('an address that cannot be dialled prevents the link, and ends no process', async () => {
+  const links = createLinkPool(endpoint('dialler', [KEY]), () => undefined);
+  for (const address of [
+    '127.0.0.1:99999',
+    '127.0.0.1:-1',
+    '127.0.0.1:1e22',
+    '127.0.0.1',
+    '127.0.0.1:',
+    '',
+  ]) {
+    const link = await links.get(address);
+    assert.ok(link.isErr(), address);
+    assert.equal(link.error.kind, LinkErrorKind.Unreachable);
+  }
+});
+
 test('a replayed handshake is rejected', async () => {
   let accepted = 0;
   const port = await listen([KEY], () => (accepted += 1));
