Wire: a frame of an odd type is an error, not an exception

Whoever reached the peer port could end the process with one frame, even before the handshake: decoding threw while it put the type of the frame into its error message. The exception left the handler of the socket's data and ended the process, with every request in flight.

The type of a frame is whatever the first element decodes to. A map with the keys toString and valueOf has no conversion to a string, so String() throws; the call was outside of the block that catches decoding errors. The message now names only the kind of a value that is not a number.

The existing property tests start from arbitrary or slightly changed bytes, which hardly ever form such a map. The new one encodes arbitrary values, with a fixed seed. It failed before:

decoding a frame with odd values returns a frame or an error and never throws TypeError: Cannot convert object to primitive value

--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -63,7 +63,9 @@
   const type: unknown = elements[0];
   const names = typeof type === 'number' ? fieldNames.get(type) : undefined;
   if (names === undefined) {
-    return err({ kind: FrameErrorKind.UnknownType, message: `unknown frame type ${String(type)}` });
+    // An arbitrary value may not be convertible to a string.
+    const shown = typeof type === 'number' ? String(type) : typeof type;
+    return err({ kind: FrameErrorKind.UnknownType, message: `unknown frame type ${shown}` });
   }
   const fields = Object.fromEntries(names.map((field, index) => [field, elements[index + 1] as unknown]));
   const checked = frameSchemas[type as FrameType].safeParse(fields);
--- a/packages/wire/test/codec.test.ts
+++ b/packages/wire/test/codec.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Outcome, Rank, Reason, RequestKind } from '@toucanbend/core';
+import { Encoder } from 'cbor-x';
 import fc from 'fast-check';
 import {
   createFrameDecoder,
@@ -90,6 +91,31 @@
   );
 });
 
+test('decoding a frame with odd values returns a frame or an error and never throws', () => {
+  const codec = new Encoder({ useRecords: false });
+  const numericTypes = Object.values(FrameType).filter((type) => typeof type === 'number');
+  const type = fc.oneof(fc.constantFrom<unknown>(...numericTypes), fc.anything({ withNullPrototype: true }));
+  fc.assert(
+    fc.property(fc.array(fc.anything(), { maxLength: 12 }), type, (fields, oddType) => {
+      decodeFrame(codec.encode([oddType, ...fields]));
+    }),
+    { numRuns: 2_000, seed: 33 },
+  );
+  const oddTypes: readonly unknown[] = [
+    { toString: 1, valueOf: 1 },
+    { toString: null },
+    [],
+    null,
+    1e308,
+    Number.NaN,
+    2n ** 80n,
+  ];
+  for (const oddType of oddTypes) {
+    const result = decodeFrame(codec.encode([oddType]));
+    assert.equal(result._unsafeUnwrapErr().kind, FrameErrorKind.UnknownType);
+  }
+});
+
 test('a frame above the size limit is rejected before its body is buffered', () => {
   const result = createFrameDecoder(100).push(Buffer.from([0, 1, 0, 0]));
   assert.equal(result._unsafeUnwrapErr().kind, FrameErrorKind.TooLong);
