--- /dev/null
+++ b/packages/membership/src/peer-updates.ts
@@ -0,0 +1,68 @@
+/** Encoding and decoding of the updates that linked entries send one another. */
+import { decodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
+import {
+  decodeQuarantineUpdate,
+  encodeQuarantineUpdate,
+  type QuarantineUpdate,
+  QuarantineUpdateKind,
+} from '@toucanbend/quarantine';
+import { type QuarantinedPart } from '@toucanbend/registry';
+import {
+  decodeRestrictionUpdate,
+  encodeRestrictionUpdate,
+  type RestrictionUpdate,
+} from '@toucanbend/restrictions';
+
+/** Handlers of the updates of other entries. */
+export interface UpdateHandlers {
+  readonly onLoadUpdate: (from: string, update: LoadUpdate) => void;
+  readonly onQuarantineUpdate: (update: QuarantineUpdate) => void;
+  readonly onRestrictionUpdate: (update: RestrictionUpdate) => void;
+}
+
+/**
+ * Decodes an update and passes it to its handler; an invalid one has no effect.
+ *
+ * @param handlers - the handlers
+ * @param from - name of the entry that sent the update
+ * @param change - the received value
+ * @param nowMs - the current time, in milliseconds, to which encoded times are relative
+ */
+export function applyUpdate(handlers: UpdateHandlers, from: string, change: unknown, nowMs: number): void {
+  const { onLoadUpdate, onQuarantineUpdate, onRestrictionUpdate } = handlers;
+  const loadUpdate = decodeLoadUpdate(change, nowMs);
+  if (loadUpdate !== undefined) {
+    onLoadUpdate(from, loadUpdate);
+    return;
+  }
+  const quarantineUpdate = decodeQuarantineUpdate(change, nowMs);
+  if (quarantineUpdate !== undefined) {
+    onQuarantineUpdate(quarantineUpdate);
+    return;
+  }
+  const restrictionUpdate = decodeRestrictionUpdate(change, nowMs);
+  if (restrictionUpdate !== undefined) {
+    onRestrictionUpdate(restrictionUpdate);
+  }
+}
+
+/**
+ * Encodes what an entry that has just started, or was cut off, needs to know besides the registry.
+ *
+ * @param quarantinedParts - the quarantined parts in force
+ * @param restrictions - what is known of the restrictions of servers
+ * @param nowMs - the current time, in milliseconds, to which encoded times are relative
+ * @returns the encoded updates
+ */
+export function encodeState(
+  quarantinedParts: readonly QuarantinedPart[],
+  restrictions: readonly RestrictionUpdate[],
+  nowMs: number,
+): unknown[] {
+  return [
+    ...quarantinedParts.map((quarantined) =>
+      encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, nowMs),
+    ),
+    ...restrictions.map((update) => encodeRestrictionUpdate(update, nowMs)),
+  ];
+}
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -5,13 +5,8 @@
 import { type Server } from 'node:net';
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
-import { decodeLoadUpdate, encodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
-import {
-  decodeQuarantineUpdate,
-  encodeQuarantineUpdate,
-  type QuarantineUpdate,
-  QuarantineUpdateKind,
-} from '@toucanbend/quarantine';
+import { encodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
+import { encodeQuarantineUpdate, type QuarantineUpdate } from '@toucanbend/quarantine';
 import {
   type EntryMember,
   isBehind,
@@ -23,11 +18,7 @@
   type RegistryRecord,
   type Revisions,
 } from '@toucanbend/registry';
-import {
-  decodeRestrictionUpdate,
-  encodeRestrictionUpdate,
-  type RestrictionUpdate,
-} from '@toucanbend/restrictions';
+import { encodeRestrictionUpdate, type RestrictionUpdate } from '@toucanbend/restrictions';
 import {
   createLinkPool,
   createLinkTraffic,
@@ -41,6 +32,7 @@
   NodeRole,
   parseAddress,
 } from '@toucanbend/wire';
+import { applyUpdate, encodeState, type UpdateHandlers } from './peer-updates.js';
 import { type RegistryHolder } from './registry-holder.js';
 
 /** The links of one entry to all other entries. */
@@ -68,7 +60,7 @@
 }
 
 /** Identity, dependencies and callbacks of the links between entries. */
-export interface PeersOptions {
+export interface PeersOptions extends UpdateHandlers {
   readonly member: EntryMember;
   readonly incarnation: string;
   readonly peerKeys: readonly string[];
@@ -80,11 +72,8 @@
   readonly logger: Logger;
   /** Whether the store is reachable from this entry. */
   readonly isStoreReachable: () => boolean;
-  readonly onLoadUpdate: (from: string, update: LoadUpdate) => void;
-  readonly onQuarantineUpdate: (update: QuarantineUpdate) => void;
   /** Returns the quarantined parts in force, which are sent to each entry that is linked. */
   readonly quarantinedParts: () => readonly QuarantinedPart[];
-  readonly onRestrictionUpdate: (update: RestrictionUpdate) => void;
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
   readonly restrictions: () => readonly RestrictionUpdate[];
   /** Called when the process of an entry has ended, or a new process has taken its place. */
@@ -362,34 +351,10 @@
     });
   }
 
-  #applyUpdate(link: Link, change: unknown, nowMs: number): void {
-    const { onLoadUpdate, onQuarantineUpdate, onRestrictionUpdate } = this.#options;
-    const loadUpdate = decodeLoadUpdate(change, nowMs);
-    if (loadUpdate !== undefined) {
-      onLoadUpdate(link.peer.node, loadUpdate);
-      return;
-    }
-    const quarantineUpdate = decodeQuarantineUpdate(change, nowMs);
-    if (quarantineUpdate !== undefined) {
-      onQuarantineUpdate(quarantineUpdate);
-      return;
-    }
-    const restrictionUpdate = decodeRestrictionUpdate(change, nowMs);
-    if (restrictionUpdate !== undefined) {
-      onRestrictionUpdate(restrictionUpdate);
-    }
-  }
-
   /** Sends what an entry that has just started, or was cut off, needs to know besides the registry. */
   #sendState(link: Link): void {
     const { clock, quarantinedParts, restrictions } = this.#options;
-    const nowMs = clock.now();
-    const changes = [
-      ...quarantinedParts().map((quarantined) =>
-        encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, nowMs),
-      ),
-      ...restrictions().map((update) => encodeRestrictionUpdate(update, nowMs)),
-    ];
+    const changes = encodeState(quarantinedParts(), restrictions(), clock.now());
     if (changes.length > 0) {
       link.send({ type: FrameType.LoadUpdates, changes });
     }
@@ -401,7 +366,7 @@
       case FrameType.LoadUpdates: {
         const nowMs = clock.now();
         for (const change of frame.changes) {
-          this.#applyUpdate(link, change, nowMs);
+          applyUpdate(this.#options, link.peer.node, change, nowMs);
         }
         break;
       }
