Membership: records of a peer are validated

One odd record in a frame of registry records ended the process that received it, or put values into its registry at which later reads throw: records were cast to their type without a look at them. A record that is null throws in the merge, in the handler of the socket's data; a server or an entry without its fields throws later, in timers that nothing guards.

Each record is now decoded by a schema beside the types in the registry package. Unreadable ones are dropped with one warning for the frame, which gives their number and the first reason; the others hold. A frame with unreadable records does not advance the revisions up to which the registry counts as complete, so that what was dropped is pulled again elsewhere.

--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -8,6 +8,7 @@
 import { encodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
 import { encodeQuarantineUpdate, type QuarantineUpdate } from '@toucanbend/quarantine';
 import {
+  decodeRecords,
   type EntryMember,
   isBehind,
   listEntries,
@@ -15,7 +16,6 @@
   type QuarantinedPart,
   RecordKind,
   recordsSince,
-  type RegistryRecord,
   type Revisions,
 } from '@toucanbend/registry';
 import { encodeRestrictionUpdate, type RestrictionUpdate } from '@toucanbend/restrictions';
@@ -360,6 +360,21 @@
     }
   }
 
+  #mergeRecords(link: Link, values: readonly unknown[], revisions: Readonly<Record<string, number>>): void {
+    const { holder, logger } = this.#options;
+    const { records, unreadable, firstError } = decodeRecords(values);
+    if (unreadable > 0) {
+      logger.warn('registry records of a peer cannot be read', {
+        peer: link.peer.node,
+        unreadable,
+        received: values.length,
+        firstError,
+      });
+    }
+    // Without the dropped records, the others are not complete up to the peer's revisions.
+    holder.merge(records, unreadable > 0 ? {} : (revisions as Partial<Revisions>));
+  }
+
   #handle(link: Link, frame: Frame): void {
     const { holder, clock } = this.#options;
     switch (frame.type) {
@@ -383,10 +398,7 @@
         this.#schedulePull(link, frame.revisions);
         break;
       case FrameType.RegistryRecords:
-        holder.merge(
-          frame.records as RegistryRecord[],
-          frame.revisions as Partial<Record<RecordKind, number>>,
-        );
+        this.#mergeRecords(link, frame.records, frame.revisions);
         break;
       default:
         break;
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -1,5 +1,6 @@
 /** The replicated registry: configuration, backend servers and entries. */
 export * from './catalogue.js';
+export * from './decode-record.js';
 export * from './member.js';
 export * from './quarantined-part.js';
 export * from './registry.js';
