Membership: odd numbers in updates of peers have a bounded effect

One update of a peer with a number far out of range put an engine or a server out of use for good, or let an entry compute without end: an engine whose next pass begins at 1e308 ms is never chosen again, and if it has requests, the model simulates passes up to that time within one call. A limit stated as used until 1e308 ms keeps its server from use, a rate of 1e308 turns the later times into NaN, and an answer that is served in the future hides the evidence of crashes.

The decoders checked only that a number is one. They now limit times relative to the present to a range, and to the past where they state the age of an event, limit tokens and ranks, and reject rates, starts and ends that no entry sends. Times are limited instead of rejected, since a route with a very long time-out is no reason to lose sight of its jobs.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Types and utilities that the other packages share. */
+export * from './clamped-number.js';
 export * from './clock.js';
 export * from './finding.js';
 export * from './key.js';
--- a/packages/placement/src/load-update.ts
+++ b/packages/placement/src/load-update.ts
@@ -2,6 +2,7 @@
  * Load updates, by which entries inform one another about the load of backend servers, and their compact encoding as
  * flat arrays.
  */
+import { clampedNumber, MAX_RELATIVE_MS } from '@toucanbend/core';
 import { type EngineParameters, PartRole, type PromptPart } from '@toucanbend/engine-model';
 import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { z } from 'zod';
@@ -27,23 +28,38 @@
   | { readonly kind: LoadUpdateKind.Ended; readonly server: string; readonly jobId: string }
   | { readonly kind: LoadUpdateKind.Failed; readonly server: string };
 
-const milliseconds = z.number();
+/** Maximum number of tokens of a prompt or an answer; several times the memory of an engine. */
+const MAX_TOKENS = 10_000_000;
+/** Encoded number of tokens of a job without a prompt, or without parts. */
+const NO_TOKENS = -1;
+/**
+ * Longest time since a job was sent, in milliseconds. Updates leave within milliseconds; the engine model simulates every
+ * pass since that time.
+ */
+const MAX_SENT_AGO_MS = 60_000;
+/** Longest time until the parts of a prompt are prefilled, in milliseconds; the model of a leader waits for it. */
+const MAX_READY_IN_MS = 60_000;
+/** Ranks are stated by operators; their order matters, their size does not. */
+const MAX_RANK = 1_000_000;
+
+const milliseconds = clampedNumber(-MAX_RELATIVE_MS, MAX_RELATIVE_MS);
+const tokens = clampedNumber(NO_TOKENS, MAX_TOKENS);
 const placedSchema = z.tuple([
   z.literal(LoadUpdateKind.Placed),
   z.string(),
   z.string(),
   z.string(),
-  z.number(),
-  z.number(),
-  z.number(),
-  milliseconds,
-  milliseconds,
+  tokens,
+  tokens,
+  clampedNumber(-MAX_RANK, MAX_RANK),
+  clampedNumber(0, MAX_SENT_AGO_MS),
+  clampedNumber(0, MAX_RELATIVE_MS),
   milliseconds,
   milliseconds,
   milliseconds,
-  z.number(),
+  tokens,
   z.enum(PartRole).optional(),
-  milliseconds.optional(),
+  clampedNumber(-MAX_RELATIVE_MS, MAX_READY_IN_MS).optional(),
 ]);
 const endedSchema = z.tuple([z.literal(LoadUpdateKind.Ended), z.string(), z.string()]);
 const failedSchema = z.tuple([z.literal(LoadUpdateKind.Failed), z.string()]);
@@ -69,7 +85,7 @@
         server,
         job.id,
         job.service,
-        job.generation?.promptTokens ?? -1,
+        job.generation?.promptTokens ?? NO_TOKENS,
         Math.round(job.generation?.answerTokens ?? 0),
         job.rank,
         Math.round(nowMs - update.atMs),
@@ -77,7 +93,7 @@
         job.targetMs,
         job.targetPauseMs,
         Math.round(job.deadlineAtMs - nowMs),
-        job.generation?.part?.wholeTokens ?? -1,
+        job.generation?.part?.wholeTokens ?? NO_TOKENS,
         ...encodePart(job.generation?.part, nowMs),
       ];
     }
@@ -128,7 +144,8 @@
       const job: Job = {
         id,
         service,
-        generation: promptTokens < 0 ? undefined : { promptTokens, answerTokens, part },
+        generation:
+          promptTokens < 0 ? undefined : { promptTokens, answerTokens: Math.max(0, answerTokens), part },
         rank,
         arrivedAtMs: nowMs - ageMs,
         targetMs,
--- a/packages/quarantine/src/quarantine-update.ts
+++ b/packages/quarantine/src/quarantine-update.ts
@@ -1,4 +1,5 @@
 /** Updates about crashes and quarantined parts that entries send one another, and their encoding as flat arrays. */
+import { clampedNumber, MAX_RELATIVE_MS } from '@toucanbend/core';
 import { type QuarantinedPart } from '@toucanbend/registry';
 import { z } from 'zod';
 import { type LostAttempt } from './crash-evidence.js';
@@ -25,7 +26,8 @@
 
 const MAX_PART_LENGTH = 256;
 const MAX_PARTS = 64;
-const milliseconds = z.number();
+/** Time since the event, in milliseconds. */
+const ago = clampedNumber(0, MAX_RELATIVE_MS);
 const partsSchema = z.array(z.string().max(MAX_PART_LENGTH)).max(MAX_PARTS);
 const lostSchema = z.tuple([
   z.literal(QuarantineUpdateKind.Lost),
@@ -33,14 +35,14 @@
   z.string(),
   z.string(),
   partsSchema,
-  milliseconds,
+  ago,
 ]);
-const servedSchema = z.tuple([z.literal(QuarantineUpdateKind.Served), z.string(), partsSchema, milliseconds]);
+const servedSchema = z.tuple([z.literal(QuarantineUpdateKind.Served), z.string(), partsSchema, ago]);
 const quarantinedSchema = z.tuple([
   z.literal(QuarantineUpdateKind.Quarantined),
   z.string(),
   z.string().max(MAX_PART_LENGTH),
-  milliseconds,
+  z.number().nonnegative().max(Number.MAX_SAFE_INTEGER),
 ]);
 const updateSchema = z.union([lostSchema, servedSchema, quarantinedSchema]);
 
--- a/packages/restrictions/src/restriction-update.ts
+++ b/packages/restrictions/src/restriction-update.ts
@@ -1,4 +1,5 @@
 /** Updates about restrictions of servers that entries send one another, and their encoding as flat arrays. */
+import { clampedNumber, MAX_RELATIVE_MS } from '@toucanbend/core';
 import { z } from 'zod';
 
 /** The kinds of updates; their values differ from those of the other updates, which travel in the same frames. */
@@ -37,20 +38,24 @@
 const MAX_ID_LENGTH = 256;
 /** Encoded rate of a server without a limit. */
 const NO_LIMIT = -1;
-const milliseconds = z.number();
+/** Highest rate, in requests per second; servers state none above it. */
+const MAX_PER_SECOND = 1e12;
+/** Longest time for which a limit counts as used in advance, in milliseconds. */
+const MAX_USED_MS = 60_000;
+const bornAt = z.number().int().nonnegative();
 const limitSchema = z.tuple([
   z.literal(RestrictionUpdateKind.Limit),
   z.string().max(MAX_ID_LENGTH),
-  milliseconds,
-  z.number().min(NO_LIMIT),
-  milliseconds,
-  milliseconds,
+  bornAt,
+  z.number().min(NO_LIMIT).max(MAX_PER_SECOND),
+  clampedNumber(0, MAX_RELATIVE_MS),
+  clampedNumber(-MAX_RELATIVE_MS, MAX_USED_MS),
 ]);
 
 const leavingSchema = z.tuple([
   z.literal(RestrictionUpdateKind.Leaving),
   z.string().max(MAX_ID_LENGTH),
-  milliseconds,
+  bornAt,
 ]);
 const updateSchema = z.union([limitSchema, leavingSchema]);
 
@@ -94,7 +99,7 @@
     server,
     bornAtMs,
     perSecond: perSecond < 0 ? undefined : perSecond,
-    statedAtMs: nowMs - Math.max(0, statedAgoMs),
+    statedAtMs: nowMs - statedAgoMs,
     usedUntilMs: nowMs + usedForMs,
   };
 }
