Membership: changes are announced to every linked entry

An entry that is not registered, such as one that does not reach the store, kept an old configuration although it was linked to an entry that had the new one.

Cause: digests went only over links that an entry had dialled itself. An entry that it does not find in the store dials, and is not dialled; it got one digest when its link was accepted, and none afterwards.

--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -198,12 +198,12 @@
     this.#isAnnouncePending = true;
     clock.after(MAX_ANNOUNCE_DELAY_MS * random.fraction(), () => {
       this.#isAnnouncePending = false;
-      this.#sendDigest([...this.#dialled.values()]);
+      this.#sendDigest(this.#openLinks());
     });
   }
 
   announceToRandomPeers(): void {
-    const open = [...this.#dialled.values()].filter((link) => link.isOpen());
+    const open = this.#openLinks();
     const { random } = this.#options;
     const chosen: Link[] = [];
     while (chosen.length < DIGEST_FANOUT && open.length > 0) {
@@ -212,6 +212,12 @@
     this.#sendDigest(chosen);
   }
 
+  /** Returns a link to each linked entry; those that are not registered have dialled, but cannot be dialled themselves. */
+  #openLinks(): Link[] {
+    const notDialled = [...this.#accepted].filter((link) => !this.#dialled.has(link.peer.node));
+    return [...this.#dialled.values(), ...notDialled].filter((link) => link.isOpen());
+  }
+
   linkCount(): number {
     return this.#dialled.size;
   }
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -165,6 +165,28 @@
 }
 
 describe('links between entries', () => {
+  it('announce later changes also to an entry that is not registered', async () => {
+    const [readerAddress, otherAddress] = await Promise.all([freeAddress(), freeAddress()]);
+    const incarnation = 'i1';
+    const reader = await startEntry({
+      member: { name: 'reader', address: readerAddress, dataCentre: 'bagmati-a' },
+      incarnation,
+      seeds: [],
+      isStoreReachable: true,
+    });
+    const other = await startEntry({
+      member: { name: 'other', address: otherAddress, dataCentre: 'bagmati-a' },
+      incarnation,
+      seeds: [readerAddress],
+      isStoreReachable: false,
+    });
+    reader.holder.merge([server('s1', 5)], { [RecordKind.Server]: 9 });
+    await other.until(() => listServers(other.holder.current()).length === 1);
+    reader.holder.merge([server('s2', 12)], { [RecordKind.Server]: 12 });
+    reader.peers.announceToRandomPeers();
+    await other.until(() => listServers(other.holder.current()).length === 2);
+  });
+
   it('pass registry records on to an entry that cannot reach the store, from its start on', async () => {
     const { reader, other } = await startPair();
     reader.holder.merge([server('s1', 5)], { [RecordKind.Server]: 9 });
