CONFIG: quarantined parts are written again after an older copy

A part of prompts that crashes servers stayed in quarantine at the running entries, but an entry that started later read the store and sent it on.

Cause: entries write a part once, when they quarantine it; the store had lost the write with the copy from which it returned, and nobody wrote it again.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -252,6 +252,9 @@
   let storeRestorations = 0;
   source.onRestored(() => {
     storeRestorations += 1;
+    if (isStoreReader()) {
+      quarantine.republish();
+    }
   });
   const registrar = createRegistrar({ member, source, clock, random, logger, storeHealth });
   storeHealth.onUnreachable(peers.announceToAll.bind(peers));
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -37,6 +37,8 @@
   restore(quarantined: QuarantinedPart): void;
   /** Ends the quarantine of a part that was removed from the store. */
   release(quarantined: Pick<QuarantinedPart, 'service' | 'part'>): void;
+  /** Writes the parts in force to the store again, which may have lost them. */
+  republish(): void;
   /** Returns the parts in force. */
   list(): QuarantinedPart[];
   /**
@@ -147,6 +149,12 @@
     this.#end(quarantineIdOf({ service, part }), 'removed from the store');
   }
 
+  republish(): void {
+    for (const id of this.#active.keys()) {
+      this.#unpublished.add(id);
+    }
+  }
+
   list(): QuarantinedPart[] {
     return [...this.#active.values()].map(({ quarantined }) => quarantined);
   }
