Core: a timer with a very long delay does not fire at once

Node runs a timer at once if its delay does not fit into 31 bits, so that a time-out or a duration of more than 24 days, from a route, a caller or a server, had the effect of none at all, and a repeated one kept the process busy. The system clock now limits the delay to the longest possible one.

--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -7,10 +7,13 @@
 export interface Clock {
   /** Returns the monotonic time in milliseconds. */
   now(): number;
-  /** Runs an action once after a delay in milliseconds. */
+  /** Runs an action once after a delay in milliseconds; the system clock limits the delay to about 24 days. */
   after(delayMs: number, action: () => void): CancelTimer;
 }
 
+/** Longest delay of a timer of the runtime, in milliseconds, about 24 days; it fires longer ones at once. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /**
  * Creates a clock that uses the monotonic time and the timers of the process.
  *
@@ -20,7 +23,7 @@
   return {
     now: () => performance.now(),
     after: (delayMs, action) => {
-      const timer = setTimeout(action, Math.max(0, delayMs));
+      const timer = setTimeout(action, Math.min(MAX_TIMER_MS, Math.max(0, delayMs)));
       return () => {
         clearTimeout(timer);
       };
