Forwarding: headers named like properties of objects are unchanged

A header with the name constructor or toString reached the server, or the caller, with the text of a built-in function before its value, and one with the name __proto__ was lost: headers were grouped in an object whose prototype has such properties. The object now has no prototype.

The test failed before: the value of constructor was not 'a' but [Function: Object], 'a'.

--- a/packages/forwarding/src/headers.ts
+++ b/packages/forwarding/src/headers.ts
@@ -49,7 +49,8 @@
  * @returns values by name; an array if a name occurs more than once
  */
 export function headersByName(rawHeaders: RawHeaders): Record<string, string | string[]> {
-  const byName: Record<string, string | string[]> = {};
+  // Without a prototype, a header may have the name of one of its properties, such as constructor.
+  const byName = Object.create(null) as Record<string, string | string[]>;
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? '';
     const value = rawHeaders[index + 1] ?? '';
