Forwarding: an answer with a status below 200 is a failed attempt

Callers got 502 for requests that may be repeated, though another server could have answered: Node's parser accepts the statuses 000 and 099, but writing one to the caller throws, which ended the request as a fault of this process. Such an answer now fails the attempt like one with the id of another request, so that the request is retried where it may be.

The tests for repeatable requests failed before with 502 instead of 200.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -86,6 +86,9 @@
 /** Limit on the ids of answers in the log, in characters. */
 const MAX_LOGGED_ID_LENGTH = 64;
 
+/** Lowest status of an answer; Node's parser accepts lower ones, which no answer to a caller can have. */
+const MIN_FINAL_STATUS = 200;
+
 /** Statuses whose answers have no body (RFC 9112, section 6.3). */
 export const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -189,6 +192,11 @@
     outgoing.destroy();
     return;
   }
+  if (start.status < MIN_FINAL_STATUS) {
+    reporter.failInterrupted(`answer has the invalid status ${String(start.status)}`);
+    outgoing.destroy();
+    return;
+  }
   if (!reporter.isFinished) {
     options.onNotice(start.notice);
   }
