Forwarding: a path that cannot be sent on is rejected as invalid

Node's parser accepts a tab and a form feed in a path, but its client throws if it is given one. The request ended with 502 and an unknown outcome, and the log reported a fault of this process, though nothing had been sent. The caller now gets 400 before anything is placed.

The tests failed before with

HTTP/1.1 502 Bad Gateway {"outcome":"unknown","reason":"internal_fault"}

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -59,6 +59,9 @@
 /** Retry delay given by an overloaded entry, in milliseconds; the caller retries at another entry. */
 const OVERLOADED_RETRY_MS = 20;
 
+/** Paths that can be sent on: Node's parser accepts a tab and a form feed, which its client rejects with an exception. */
+const FORWARDABLE_PATH = /^[\x21-\xff]+$/;
+
 const rejectionRetryAfterMs: Partial<Record<EndReason, number>> = {
   [EndReason.NoConfiguration]: NO_CONFIGURATION_RETRY_MS,
   [EndReason.Leaving]: LEAVING_RETRY_MS,
@@ -177,6 +180,10 @@
       return;
     }
     const path = message.url ?? '/';
+    if (!FORWARDABLE_PATH.test(path)) {
+      this.#reject(head, answer, EndReason.BadRequest);
+      return;
+    }
     const admission = admitRequest(
       this.#context.registry().catalogue,
       message.headers.host ?? '',
--- a/packages/forwarding/test/odd-messages.test.ts
+++ b/packages/forwarding/test/odd-messages.test.ts
@@ -1,5 +1,6 @@
 /** Requests and answers that the HTTP parser accepts, but that cannot be sent on as they are. */
 import assert from 'node:assert/strict';
+import { connect } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { paths, startTestGateway } from './support/gateway.js';
 import { answerTo, callAs, firstThen, type Script, startScriptedServer } from './support/scripted-server.js';
@@ -38,3 +39,26 @@
     });
   }
 });
+
+describe('a request with a path that no request can carry', () => {
+  for (const [name, odd] of [
+    ['a tab', '\t'],
+    ['a form feed', '\f'],
+  ] as const) {
+    it(`is rejected as invalid (${name})`, async () => {
+      const server = await startScriptedServer(succeeds);
+      const gateway = await startTestGateway([server.port]);
+      open.push(gateway, server);
+      const socket = connect(gateway.port, '127.0.0.1');
+      socket.write(
+        `GET ${paths.once}a${odd}b HTTP/1.1\r\nHost: vanes.example\r\nkey: key-1\r\nrequest-id: r\r\nConnection: close\r\n\r\n`,
+      );
+      let answer = '';
+      for await (const chunk of socket) {
+        answer += String(chunk);
+      }
+      assert.match(answer, /^HTTP\/1\.1 400 /);
+      assert.equal(server.received.length, 0);
+    });
+  }
+});
