Entry: an exception while a request is read ends only that request

An exception between the arrival of a request and the start of its process would have ended the entry, and with it every request in flight, without an answer. No such exception is known; it was found by reading.

Cause: the promise of the reader was dropped, and Node ends a process whose promise is rejected without a handler.

The exception is now logged and the request ends as not run, as it does with an exception in its process.

Evidence: the new test throws while a head is decoded. Before: "Error: fault injected by a test", reported as the failure of the test, since the rejection had no handler. Now the request gets 503 and the next one is served.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -157,8 +157,17 @@
   }
 
   async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const receivedAtMs = this.#context.clock.now();
     const answer = createCallerAnswer(response, this.#context.isDraining);
+    try {
+      await this.#read(message, response, answer);
+    } catch (error) {
+      // The process of the request has not been started, so the request has not run.
+      this.#failInternally('', -1, answer, Outcome.NotRun, error);
+    }
+  }
+
+  async #read(message: IncomingMessage, response: ServerResponse, answer: CallerAnswer): Promise<void> {
+    const receivedAtMs = this.#context.clock.now();
     const head = this.#context.dialect.readCaller(message.headers);
     response.on('error', () => undefined);
     message.on('error', () => undefined);
@@ -236,10 +245,12 @@
       sendCallerGone();
     });
     const serve = forwardRequest.bind(undefined, this.#context, request, answer, inbox);
+    const { head, rank } = request;
     const record = (result: ForwardResult): void => {
-      this.#record(request.head, request.rank, result.end, answerLogFields(request, result.timing));
+      this.#record(head.requestId, rank, result.end, answerLogFields(request, result.timing));
     };
-    const fail = this.#failInternally.bind(this, request, answer);
+    // Its attempts may have run.
+    const fail = this.#failInternally.bind(this, head.requestId, rank, answer, Outcome.Unknown);
     startProcess(function* () {
       try {
         record(yield* serve());
@@ -249,16 +260,22 @@
     });
   }
 
-  /** Ends a request whose process threw an exception. Its attempts may have run, so the outcome is unknown. */
-  #failInternally(request: CallerRequest, answer: CallerAnswer, error: unknown): void {
-    const end = { outcome: Outcome.Unknown, reason: EndReason.InternalFault, retryAfterMs: 0 };
+  /** Ends a request that caused an exception. */
+  #failInternally(
+    requestId: string,
+    rank: number,
+    answer: CallerAnswer,
+    outcome: Outcome,
+    error: unknown,
+  ): void {
+    const end = { outcome, reason: EndReason.InternalFault, retryAfterMs: 0 };
     const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
     this.#context.logger.error('request failed by a fault of this process', {
-      request: request.head.requestId,
+      request: requestId,
       error: detail,
     });
     answer.fail(end);
-    this.#record(request.head, request.rank, end);
+    this.#record(requestId, rank, end);
   }
 
   #reject(
@@ -269,11 +286,11 @@
   ): void {
     const end = { outcome: Outcome.NotRun, reason, retryAfterMs: rejectionRetryAfterMs[reason] ?? 0 };
     answer.fail(end);
-    this.#record(head, -1, end, details);
+    this.#record(head.requestId, -1, end, details);
   }
 
   #record(
-    head: CallerHead,
+    requestId: string,
     rank: number,
     end: RequestEnd,
     details: Record<string, string | number> = {},
@@ -281,7 +298,7 @@
     this.#context.metrics.countEnd(rank, end.outcome, end.reason);
     this.#context.logger.decision({
       decision: DecisionKind.Answer,
-      request: head.requestId,
+      request: requestId,
       fields: { ...end, ...details, catalogue: this.#context.registry().catalogue?.version ?? 0 },
     });
   }
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -397,3 +397,14 @@
     assert.equal(ends.length, 1);
   });
 });
+
+describe('an exception while a request is read', () => {
+  it('ends that request as not run, and no other', async () => {
+    const deployment = await startDeployment(succeeds);
+    const { port } = deployment.gateway;
+    const headers = { 'injected-head-fault': '1' };
+    const faulty = await callAs({ port, path: paths.once, headers }).result;
+    assert.deepEqual([faulty.status, JSON.parse(faulty.body).reason], [503, 'internal_fault']);
+    assert.equal((await deployment.call(paths.once)).status, 200);
+  });
+});
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -1,6 +1,8 @@
 /** An HTTP server for callers with a test dialect, in front of scripted backend servers. */
+import { type IncomingHttpHeaders } from 'node:http';
 import { createManualClock, createRandom, type ManualClock } from '@toucanbend/core';
 import {
+  type CallerHead,
   type CallerPort,
   createCallerPort,
   createForwardingMetrics,
@@ -34,24 +36,31 @@
 
 const REPLACED = new Set(['key', 'timeout', 'account', 'for-server']);
 
+const readTestHead = (headers: IncomingHttpHeaders): CallerHead => ({
+  requestId: String(headers['request-id'] ?? ''),
+  key: headers.key === undefined ? undefined : String(headers.key),
+  callerTimeoutMs: headers.timeout === undefined ? undefined : Number(headers.timeout),
+  lastEventId: headers['last-event-id'] === undefined ? undefined : Number(headers['last-event-id']),
+  prompt:
+    headers['prompt-tokens'] === undefined
+      ? undefined
+      : {
+          model: 'm',
+          promptTokens: Number(headers['prompt-tokens']),
+          maxAnswerTokens: 100,
+          expectedAnswerTokens: 100,
+          sharedParts: headers.parts === undefined ? [] : String(headers.parts).split(','),
+        },
+});
+
 /** A dialect with short header names. */
 export const testDialect: Dialect = {
-  readCaller: (headers) => ({
-    requestId: String(headers['request-id'] ?? ''),
-    key: headers.key === undefined ? undefined : String(headers.key),
-    callerTimeoutMs: headers.timeout === undefined ? undefined : Number(headers.timeout),
-    lastEventId: headers['last-event-id'] === undefined ? undefined : Number(headers['last-event-id']),
-    prompt:
-      headers['prompt-tokens'] === undefined
-        ? undefined
-        : {
-            model: 'm',
-            promptTokens: Number(headers['prompt-tokens']),
-            maxAnswerTokens: 100,
-            expectedAnswerTokens: 100,
-            sharedParts: headers.parts === undefined ? [] : String(headers.parts).split(','),
-          },
-  }),
+  readCaller: (headers) => {
+    if (headers['injected-head-fault'] !== undefined) {
+      throw new Error('fault injected by a test');
+    }
+    return readTestHead(headers);
+  },
   writeAttempt: (callerHeaders, attempt) => {
     if (callerHeaders.includes('injected-fault')) {
       throw new Error('fault injected by a test');
