Entry: a request that arrived before the idle timeout is served

After a time without processor time, an entry cut kept connections whose idle timeout had expired meanwhile, although the next request had arrived before: the caller saw a reset in place of an answer.

Cause: Node's timers run before the input that arrived in that time is read, and the timer of the idle timeout closes the connection.

When the timer expires, the entry now reads the input that has arrived, and closes the connection if that holds no request.

Evidence: the new test blocks the event loop beyond the idle timeout, right after the second request was sent. Before: "The input did not match the regular expression /^HTTP\/1\.1 200 /. Input: 'Error: read ECONNRESET'". Now it is answered. A second test shows that a connection without a request is still closed.

--- a/packages/forwarding/src/caller-connections.ts
+++ b/packages/forwarding/src/caller-connections.ts
@@ -6,6 +6,8 @@
  */
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
+import { type Clock } from '@toucanbend/core';
+import { readPendingInput } from './pending-input.js';
 
 /** The connections of callers and the requests on them. */
 export interface CallerConnections {
@@ -20,6 +22,8 @@
    * is still to come.
    */
   busyCount(): number;
+  /** Closes a connection whose idle timeout has expired, unless a request has arrived that has not been read yet. */
+  expired(socket: Socket): Promise<void>;
   /** Closes the connections that are not in use. */
   closeIdle(): void;
 }
@@ -37,9 +41,10 @@
 /**
  * Creates the record of connections.
  *
+ * @param clock - measures the reading of pending input
  * @returns the record, which is empty
  */
-export function createCallerConnections(): CallerConnections {
+export function createCallerConnections(clock: Clock): CallerConnections {
   const uses = new Map<Socket, ConnectionUse>();
   let requests = 0;
   const update = (socket: Socket, change: (use: ConnectionUse) => ConnectionUse): void => {
@@ -48,6 +53,12 @@
       uses.set(socket, change(use));
     }
   };
+  const closeIfIdle = (socket: Socket): void => {
+    const use = uses.get(socket);
+    if (use !== undefined && isIdle(socket, use)) {
+      socket.destroy();
+    }
+  };
   return {
     accepted: (socket) => {
       uses.set(socket, { requests: 0, bytesReadAtEnd: undefined });
@@ -66,12 +77,13 @@
     },
     requestCount: () => requests,
     busyCount: () => [...uses].filter(([socket, use]) => !isIdle(socket, use)).length,
+    expired: async (socket) => {
+      // Timers run before the input that arrived while the process had no processor time.
+      await readPendingInput(clock);
+      closeIfIdle(socket);
+    },
     closeIdle: () => {
-      [...uses].forEach(([socket, use]) => {
-        if (isIdle(socket, use)) {
-          socket.destroy();
-        }
-      });
+      [...uses.keys()].forEach(closeIfIdle);
     },
   };
 }
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -1,6 +1,6 @@
 /** The HTTP server for callers: reads requests, checks them against the catalogue and starts their processes. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { type AddressInfo, Server as NetServer } from 'node:net';
+import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import { type Channel, startProcess } from '@toucanbend/channel';
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind } from '@toucanbend/observability';
@@ -254,7 +254,7 @@
  */
 export function createCallerPort(context: ForwardingContext): CallerPort {
   const reader = new RequestReader(context);
-  const connections = createCallerConnections();
+  const connections = createCallerConnections(context.clock);
   const server = createServer(
     {
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -267,6 +267,10 @@
       void reader.handle(message, response);
     },
   );
+  // With this listener, Node leaves it to the listener to close the connection.
+  server.on('timeout', (socket: Socket) => {
+    void connections.expired(socket);
+  });
   server.on('connection', connections.accepted.bind(connections));
   return {
     listen: (host, port) => listen(server, host, port),
