Entry: a stop answers requests and connections that had arrived

A request on a kept connection that had arrived, but not been read, when its entry stopped listening was cut without an answer, as was a connection that had been established but not accepted. An entry that is short of processor time has many of them.

Cause: the entry closed its listening socket and its idle connections at once.

It now reads the input that has arrived, which also accepts the connections, before it closes both; the requests get 503 with a short Retry-After.

Evidence: two new tests send the request, and connect, in the same turn of the event loop in which the port stops listening. Before, "The input did not match the regular expression /HTTP\/1.1 503 .*retry-after: 0\.020/is", where the input ended after the answer to the earlier request, and was empty. Now both get 503. The older tests wait until the connections have been closed.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -38,7 +38,7 @@
   applyLimits(catalogue: Catalogue): void;
   /** Limits the time of the requests, by {@link ForwardingContext.answersUntilMs}. */
   startDraining(): void;
-  /** Accepts no more connections, and closes idle ones. */
+  /** Reads the input that has arrived; then accepts no more connections, and closes idle ones. */
   stopListening(): void;
   /** Stops listening and closes all connections. */
   close(): void;
@@ -282,9 +282,12 @@
     },
     startDraining: reader.startDraining.bind(reader),
     stopListening: () => {
-      // The HTTP server's own method also closes connections whose answers are not sent completely.
-      NetServer.prototype.close.call(server);
-      connections.closeIdle();
+      // Connections and requests that have already arrived are accepted and answered.
+      void readPendingInput(context.clock).then(() => {
+        // The HTTP server's own method also closes connections whose answers are not sent completely.
+        NetServer.prototype.close.call(server);
+        connections.closeIdle();
+      });
     },
     close: () => {
       server.close();
--- a/packages/forwarding/test/planned-stop.test.ts
+++ b/packages/forwarding/test/planned-stop.test.ts
@@ -88,6 +88,14 @@
   }
 }
 
+/** Has a port stop listening, and waits until it has closed the connections that it closes. */
+async function stopListening({ callerPort }: TestGateway): Promise<void> {
+  callerPort.stopListening();
+  for (let turn = 0; turn < 10; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 /** Length of an answer that exceeds what the sockets of a connection buffer, in bytes. */
 const LARGE_ANSWER_BYTES = 8_000_000;
 
@@ -99,7 +107,7 @@
     caller.pause();
     caller.write(headOf(paths.once));
     await until(() => gateway.decisions.some(({ fields }) => fields.reason === 'answered'));
-    gateway.callerPort.stopListening();
+    await stopListening(gateway);
     const reader = startReading(caller);
     await until(() => reader.isClosed() || caller.bytesRead > LARGE_ANSWER_BYTES);
     await until(() => reader.isClosed() || bodyOf(reader.text()).length >= LARGE_ANSWER_BYTES);
@@ -128,13 +136,43 @@
       caller.write(text);
       await until(() => callerPort.busyConnections() === 1);
       gateway.stopAccepting();
-      gateway.callerPort.stopListening();
+      await stopListening(gateway);
       caller.write(headOf(paths.once).slice(text.length));
       await until(() => reader.isClosed() || reader.text().includes(' 503 '));
       assert.match(reader.text(), /HTTP\/1.1 503 .*retry-after: 0\.020/is);
     });
   }
 
+  it('is not closed if its next request has arrived but has not been read', async () => {
+    const { gateway } = await startDeployment((socket, request) => socket.end(answerTo(request, 'a vane')));
+    const caller = await connectTo(gateway);
+    const reader = startReading(caller);
+    caller.write(headOf(paths.once));
+    await until(() => reader.text().endsWith('a vane') && gateway.callerPort.busyConnections() === 0);
+    caller.write(headOf(paths.once));
+    gateway.stopAccepting();
+    gateway.callerPort.stopListening();
+    await until(() => reader.isClosed() || reader.text().includes(' 503 '));
+    assert.match(reader.text(), /HTTP\/1.1 503 .*retry-after: 0\.020/is);
+  });
+
+  it('is accepted if it was established before', async () => {
+    const { gateway } = await startDeployment((socket, request) => socket.end(answerTo(request, 'a vane')));
+    const caller = connect(gateway.port, '127.0.0.1');
+    caller.on('error', () => undefined);
+    open.push({ close: () => caller.destroy() });
+    const reader = startReading(caller);
+    caller.write(headOf(paths.once));
+    // The connection is established in the next tick, and accepted when the event loop polls.
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+    gateway.stopAccepting();
+    gateway.callerPort.stopListening();
+    await until(() => reader.isClosed() || reader.text().includes(' 503 '));
+    assert.match(reader.text(), /HTTP\/1.1 503 .*retry-after: 0\.020/is);
+  });
+
   it('is closed if it is kept open without a request', async () => {
     const { gateway } = await startDeployment((socket, request) => socket.end(answerTo(request, 'a vane')));
     const caller = await connectTo(gateway);
