Test: a connection is in use until its caller has taken the answer

The drain counts an answer that is still queued in the process, so that the process doesn't end before it is sent. This holds as the code stands.

--- a/packages/forwarding/test/planned-stop.test.ts
+++ b/packages/forwarding/test/planned-stop.test.ts
@@ -108,10 +108,13 @@
     caller.write(headOf(paths.once));
     await until(() => gateway.decisions.some(({ fields }) => fields.reason === 'answered'));
     await stopListening(gateway);
+    // The process doesn't end while it holds a part of the answer.
+    assert.equal(gateway.callerPort.busyConnections(), 1);
     const reader = startReading(caller);
     await until(() => reader.isClosed() || caller.bytesRead > LARGE_ANSWER_BYTES);
     await until(() => reader.isClosed() || bodyOf(reader.text()).length >= LARGE_ANSWER_BYTES);
     assert.equal(bodyOf(reader.text()).length, LARGE_ANSWER_BYTES);
+    await until(() => gateway.callerPort.busyConnections() === 0);
   });
 });
 
