CONFIG: a deferred record ends with the era that it is from

A server that had left was used again, for good, where the store returned twice within some seconds: the first copy held it, so that its record was deferred; the second copy did not, and nothing said that it was gone when the time of the deferred record was over.

Cause: deferred records were kept by object, and the end of their era was looked at only where the same object came again. They are now dropped as soon as any record or position of a later era arrives. A removal that is held back also ends at once where a later listing has the object again.

--- a/packages/membership/src/registry-holder.ts
+++ b/packages/membership/src/registry-holder.ts
@@ -45,6 +45,8 @@
   readonly #handlers: ((after: Registry, before: Registry) => void)[] = [];
   readonly #doubtful = new Map<string, RegistryRecord>();
   #registry = emptyRegistry;
+  /** The latest era of any record or position. */
+  #era = 0;
 
   constructor(options: RegistryHolderOptions) {
     this.#options = options;
@@ -55,6 +57,7 @@
   }
 
   merge(records: readonly RegistryRecord[], positions: Partial<Positions>): void {
+    this.#recordEra(records, positions);
     const certain: RegistryRecord[] = [];
     for (const record of records) {
       if (isDoubtful(this.#registry.records.get(keyOf(record)), record)) {
@@ -79,6 +82,17 @@
     });
   }
 
+  /** Drops the doubtful records of earlier eras: the store no longer has the copy that they are from. */
+  #recordEra(records: readonly RegistryRecord[], positions: Partial<Positions>): void {
+    const stated = [...records.map((record) => record.position), ...Object.values(positions)];
+    this.#era = stated.reduce((latest, { era }) => Math.max(latest, era), this.#era);
+    for (const [key, { position }] of this.#doubtful) {
+      if (position.era < this.#era) {
+        this.#doubtful.delete(key);
+      }
+    }
+  }
+
   /** Returns the positions without the kinds of which a record is still to be merged: other entries pull from them. */
   #complete(positions: Partial<Positions>): Partial<Positions> {
     const incomplete = new Set<string>([...this.#doubtful.values()].map((record) => record.kind));
--- a/packages/membership/src/removal-guard.ts
+++ b/packages/membership/src/removal-guard.ts
@@ -91,6 +91,7 @@
       const present = new Set(records.map((record) => record.id));
       return withTombstones(registry, kind, records, position).filter((record) => {
         if (present.has(record.id)) {
+          held.delete(record.id);
           return true;
         }
         const isLost = isLostInCopy(registry.records.get(keyOf(record)), position);
--- a/packages/membership/test/restored-store.test.ts
+++ b/packages/membership/test/restored-store.test.ts
@@ -285,6 +285,21 @@
     assert.equal(entry.version(), 7);
   });
 
+  it('takes no server back from a copy that the store has replaced by another one', async () => {
+    const store = new CopiedStore();
+    const empty = store.copy();
+    store.write(RecordKind.Server, 's1', server('s1'));
+    const copy = store.copy();
+    const entry = await startEntry(store);
+    store.remove(RecordKind.Server, 's1');
+    await entry.advance(1_000);
+    store.restore(copy);
+    await entry.advance(1_000);
+    store.restore(empty);
+    await entry.advance(10_000);
+    assert.deepEqual(entry.readyServers(), []);
+  });
+
   it('agrees with an entry that still knows the earlier era, whichever hears of the other first', async () => {
     const store = new CopiedStore();
     store.write(RecordKind.Catalogue, '', catalogue(4));
