Mutants: a silent server that is abandoned

The mutant ended no answer any more, since a silent attempt goes on beside its replacement; it now ends the attempt, and forwarding.test sees it.

--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -170,8 +170,8 @@
     promise: 'answers meet the deadline',
     mistake: 'a silent server is abandoned although no other server is available',
     file: 'packages/forwarding/src/forward.ts',
-    from: 'if (!this.#canFailOver(attempt)) {',
-    to: 'if (!this.#canFailOver(attempt) && this.#attemptNumber === 0) {',
+    from: 'if (!this.#canFailOver(attempt)) {\n      return false;',
+    to: 'if (!this.#canFailOver(attempt)) {\n      this.#fail(attempt, { failure: AttemptFailure.InDoubt, detail: "" });\n      return true;',
     tests: 'forwarding.test',
   },
   {
