LOST: a silent server is cancelled only when another one has delivered

Callers got 502, or a stream that ended with a closed connection, although the first server was sound: it was silent for longer than the inactivity timeout, the replacement began an answer and broke it off.

Cause: the older attempt was cancelled when the replacement sent the head of a successful answer, or an event that the caller already had. Neither has reached the caller: a call is buffered until it is complete, and repeated events are dropped.

Evidence, before the change: - `answers a call whose other server begins an answer and breaks it off`: [502, {"outcome":"unknown","reason":"attempts_used"}] in place of [200, vane]. - `completes its stream if the other server only repeats events and breaks off`: events 1 and 2 of 4.

Change: relays count the events that were sent to the caller, and only these end the other attempts. Calls keep all attempts until one answer is complete, so that two servers may work on the same call for longer than before.

--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -40,6 +40,8 @@
   /** Whether the status of the answer reports a success. */
   readonly isSuccess: boolean;
   readonly eventCount: number;
+  /** Number of events that were sent to the caller; events that an earlier attempt delivered are not sent again. */
+  readonly deliveredCount: number;
   readonly lastEventId: number | undefined;
   readonly fallback: FallbackAnswer | undefined;
   /**
@@ -79,6 +81,7 @@
   #start: AnswerStart | undefined;
   fallback: FallbackAnswer | undefined;
   readonly eventCount = 0;
+  readonly deliveredCount = 0;
   readonly lastEventId = undefined;
 
   constructor(context: ForwardingContext, answer: CallerAnswer, server: BackendServer, sentAtMs: number) {
@@ -144,6 +147,7 @@
   readonly #resumedAfterId: number | undefined;
   #start: AnswerStart | undefined;
   eventCount = 0;
+  deliveredCount = 0;
   lastEventId: number | undefined;
 
   constructor(
@@ -213,6 +217,7 @@
       return;
     }
     this.#begin();
+    this.deliveredCount += 1;
     this.lastEventId = event.id ?? this.lastEventId;
     this.#answer.write(event.bytes);
   }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -248,15 +248,14 @@
   #handleEvent(attempt: RunningAttempt, event: AttemptEvent): RequestEnd | undefined {
     const { relay, server } = attempt;
     const eventsBefore = relay.eventCount;
-    const wasStarted = relay.hasStarted;
+    const deliveredBefore = relay.deliveredCount;
     const result = relay.handle(event, this.#mayRepeatErrors());
     this.#lastEventId = relay.lastEventId ?? this.#lastEventId;
     if (relay.eventCount > eventsBefore) {
       this.#recordEvent(attempt, eventsBefore === 0);
       this.#quarantine.recordEvents(eventsBefore, relay.eventCount);
     }
-    const hasBegunSuccess = result === undefined && relay.isSuccess && relay.hasStarted !== wasStarted;
-    if (relay.eventCount > eventsBefore || hasBegunSuccess) {
+    if (relay.deliveredCount > deliveredBefore) {
       this.#attempts.keepOnly(attempt);
     }
     if (result === undefined) {
--- a/packages/forwarding/src/request-attempts.ts
+++ b/packages/forwarding/src/request-attempts.ts
@@ -22,7 +22,7 @@
   countUnsent(): void;
   /** Ends a running attempt. */
   end(attempt: RunningAttempt): void;
-  /** Ends all running attempts but one, which has made progress; all of them if it is undefined. */
+  /** Ends all running attempts but one, which has delivered an event; all of them if it is undefined. */
   keepOnly(kept: RunningAttempt | undefined): void;
 }
 
--- a/packages/forwarding/test/silent-server.test.ts
+++ b/packages/forwarding/test/silent-server.test.ts
@@ -203,4 +203,37 @@
     request.leave();
     await until(() => pausing.isCancelled && other.isCancelled);
   });
+
+  it('answers a call whose other server begins an answer and breaks it off', TIMEOUT, async () => {
+    const pausing = new PausingServer(ignore, (socket, received) => socket.end(answerTo(received, 'vane')));
+    const request = await startPaused(paths.repeatable, pausing, (socket, received) => {
+      beginStream(socket, received);
+      socket.end();
+    });
+    request.clock.advance(SILENCE_MS);
+    await until(
+      () => request.gateway.decisions.filter(({ fields }) => fields.failure === 'in_doubt').length === 2,
+    );
+    pausing.resume();
+    const answer = await request.result;
+    assert.deepEqual([answer.status, answer.body], [200, 'vane']);
+  });
+
+  it('completes its stream if the other server only repeats events and breaks off', TIMEOUT, async () => {
+    const pausing = pausingStream();
+    const request = await startPaused(paths.stream, pausing, (socket, received) => {
+      beginStream(socket, received);
+      writeChunk(socket, event(1));
+      socket.end();
+    });
+    await until(() => request.body() === events(1, 2));
+    request.clock.advance(SILENCE_MS);
+    await until(
+      () => request.gateway.decisions.filter(({ fields }) => fields.failure === 'in_doubt').length === 2,
+    );
+    pausing.resume();
+    const answer = await request.result;
+    assert.equal(answer.body, events(1, 4));
+    assert.equal(answer.isComplete, true);
+  });
 });
