LOST: a quarantined part does not break off an answer whose server is silent

Callers saw a stream end with a closed connection although its server would have gone on: a part of its prompt was quarantined while the server paused.

Cause: an answer that has begun goes on when a part of its prompt is quarantined. When its server was then silent for longer than the inactivity timeout, the request looked for another server, found its prompt quarantined, and ended with all its attempts. The class: a live source is given up before its replacement has delivered anything.

Evidence: `completes its stream if a part of its prompt is quarantined meanwhile` failed before with event 1 of 4.

Change: while an attempt with events runs, a quarantined prompt gets no further attempt, and no retry is taken from the budget for one.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -123,11 +123,17 @@
     const { retries, entryCount, clock } = this.#context;
     const { route, service } = this.#request;
     return (
+      !this.#isQuarantinedMidway() &&
       mayRetry(route.repeat, this.#attempts.history(), route.attempts) &&
       retries.trySpend(service.name, entryCount(), clock.now())
     );
   }
 
+  /** Returns whether the prompt was quarantined while its answer is under way, which no further server may continue. */
+  #isQuarantinedMidway(): boolean {
+    return this.#attempts.hasEvents() && this.#quarantine.find() !== undefined;
+  }
+
   /** Returns the servers that get no further attempt: those that failed, and those that a running attempt occupies. */
   #excludedServers(): ReadonlySet<string> {
     return new Set([...this.#triedServers, ...this.#attempts.helperIds()]);
@@ -365,7 +371,7 @@
     const history = attempt.isCounted
       ? this.#attempts.history()
       : recordFailedAttempt(this.#attempts.history(), AttemptFailure.InDoubt);
-    if (!mayRetry(route.repeat, history, route.attempts)) {
+    if (this.#isQuarantinedMidway() || !mayRetry(route.repeat, history, route.attempts)) {
       return false;
     }
     const excluded = attempt.isMemoryIdle ? this.#triedServers : this.#excludedServers();
--- a/packages/forwarding/test/silent-server.test.ts
+++ b/packages/forwarding/test/silent-server.test.ts
@@ -25,6 +25,10 @@
 
 /** Longer than the inactivity timeout of the test routes before and after the first event, in milliseconds. */
 const SILENCE_MS = 1_300;
+/** Longer than the interval within which crashes count as one, in milliseconds. */
+const CRASH_INTERVAL_MS = 110;
+/** Longer than the delay of the decision to quarantine a part, in milliseconds. */
+const DECIDED_MS = 550;
 const TIMEOUT = { timeout: 20_000 };
 
 const event = (id: number): string => `id: ${String(id)}\ndata: token ${String(id)}\n\n`;
@@ -95,6 +99,13 @@
   }
 }
 
+/** Lets events that are under way arrive. */
+async function nextTurns(): Promise<void> {
+  for (let turn = 0; turn < 50; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 interface PausedRequest {
   readonly clock: ManualClock;
   readonly servers: readonly ScriptedServer[];
@@ -105,18 +116,28 @@
   leave(): void;
 }
 
-/** Sends a request to two servers; the one that gets it first pauses, the other one has another script. */
-async function startPaused(path: string, pausing: PausingServer, other: Script): Promise<PausedRequest> {
+interface PausedRequestOptions {
+  readonly clock?: ManualClock;
+  readonly serverCount?: number;
+  readonly headers?: Record<string, string>;
+}
+
+/** Sends a request to two servers or more; the one that gets it first pauses, the others have another script. */
+async function startPaused(
+  path: string,
+  pausing: PausingServer,
+  other: Script,
+  { clock = createManualClock(), serverCount = 2, headers = {} }: PausedRequestOptions = {},
+): Promise<PausedRequest> {
   const script = firstThen(pausing.script, other);
-  const servers = [await startScriptedServer(script), await startScriptedServer(script)];
-  const clock = createManualClock();
+  const servers = await Promise.all(Array.from({ length: serverCount }, () => startScriptedServer(script)));
   const gateway = await startTestGateway(
     servers.map(({ port }) => port),
     { clock },
   );
   open.push(gateway, ...servers);
   let body = '';
-  const { result, leave } = callAs({ port: gateway.port, path }, (received) => {
+  const { result, leave } = callAs({ port: gateway.port, path, headers }, (received) => {
     body = received;
   });
   await until(() => servers.some(({ received }) => received.length > 0));
@@ -236,4 +257,39 @@
     assert.equal(answer.body, events(1, 4));
     assert.equal(answer.isComplete, true);
   });
+
+  it('completes its stream if a part of its prompt is quarantined meanwhile', TIMEOUT, async () => {
+    const pausing = new PausingServer(
+      (socket, request) => {
+        beginStream(socket, request);
+        writeChunk(socket, event(1));
+      },
+      (socket) => {
+        writeChunk(socket, events(2, 4));
+        socket.end('0\r\n\r\n');
+      },
+    );
+    const clock = createManualClock();
+    const crash: Script = (socket, received) => {
+      clock.advance(CRASH_INTERVAL_MS);
+      beginStream(socket, received);
+      setImmediate(() => socket.resetAndDestroy());
+    };
+    const headers = { parts: 'workshop,poison', 'prompt-tokens': '2000' };
+    const request = await startPaused(paths.stream, pausing, crash, { clock, serverCount: 8, headers });
+    await until(() => request.body() === event(1));
+    const callWithPart = (id: string): Promise<CallerResult> =>
+      callAs({ port: request.gateway.port, path: paths.stream, headers: { ...headers, 'request-id': id } })
+        .result;
+    await callWithPart('r2');
+    await callWithPart('r3');
+    clock.advance(DECIDED_MS);
+    assert.equal((await callWithPart('r4')).status, 503, 'the part is quarantined');
+    clock.advance(SILENCE_MS);
+    await nextTurns();
+    pausing.resume();
+    const answer = await request.result;
+    assert.equal(answer.body, events(1, 4));
+    assert.equal(answer.isComplete, true);
+  });
 });
