CONFIG: a late record of an earlier era does not drop a deferred one

A server or an entry that had been written again after a restoration stayed unknown at some entries: for good if nothing wrote it once more, which holds for entries.

Cause: a record of the new era that may come from the older copy is deferred. Each further record of the object that was not deferred itself dropped it, also one of the era before, which a linked entry sends that has not heard of the restoration. The positions then counted as complete, so that the dropped record was not pulled again.

Evidence: `uses a server that is written again, although an entry still sends its earlier removal` failed before: [] in place of ['s1'] after 60 s.

Change: only a record that is not before the deferred one drops it.

--- a/packages/membership/src/registry-holder.ts
+++ b/packages/membership/src/registry-holder.ts
@@ -63,7 +63,7 @@
       if (isDoubtful(this.#registry.records.get(keyOf(record)), record)) {
         this.#defer(record);
       } else {
-        this.#doubtful.delete(keyOf(record));
+        this.#dropSuperseded(record);
         certain.push(record);
       }
     }
@@ -100,6 +100,15 @@
     return Object.fromEntries(complete) as Partial<Record<RecordKind, Positions[RecordKind]>>;
   }
 
+  /** Drops the deferred record of the same object, unless it is later: other entries may still send records of an earlier era. */
+  #dropSuperseded(record: RegistryRecord): void {
+    const key = keyOf(record);
+    const deferred = this.#doubtful.get(key);
+    if (deferred !== undefined && !isAfter(deferred.position, record.position)) {
+      this.#doubtful.delete(key);
+    }
+  }
+
   #defer(record: RegistryRecord): void {
     const { clock, logger, expiryMs, onDeferred } = this.#options;
     const key = keyOf(record);
--- a/packages/membership/test/restored-store.test.ts
+++ b/packages/membership/test/restored-store.test.ts
@@ -319,6 +319,27 @@
     assert.deepEqual(before.readyServers(), []);
   });
 
+  it('uses a server that is written again, although an entry still sends its earlier removal', async () => {
+    const clock = createManualClock();
+    const holder = createRegistryHolder({ clock, logger, expiryMs: EXPIRY_MS, onDeferred: ignore });
+    const id = 's1';
+    const removal = { kind: RecordKind.Server, id, position: { era: 1, revision: 50 } } as RegistryRecord;
+    const written = {
+      kind: RecordKind.Server,
+      id,
+      position: { era: 2, revision: 47 },
+      value: server(id),
+    } as RegistryRecord;
+    holder.merge([removal], {});
+    holder.merge([written], {});
+    holder.merge([removal], {});
+    clock.advance(60_000);
+    assert.deepEqual(
+      listServers(holder.current()).map((found) => found.id),
+      [id],
+    );
+  });
+
   it('registers again at once, and not with a lease of the era before', async () => {
     const store = new CopiedStore();
     const copy = store.copy();
