CONFIG: entries that do not watch the store list it once after a restoration

Requests went on to a server that the older copy lacked and that had not registered again, at some entries until they were restarted.

Cause: readers hold such removals back for 2.2 s and do not count their records as complete meanwhile. An entry that starts in that time, or later, never knew the server: its records are complete without the removal. An entry that pulled them advanced its position past the removal, which the readers date to their listing, and did not pull it any more.

Evidence: `drops a server that the copy lacks, also if another entry has started since` failed before: ['s1', 's2'] in place of ['s1'] 10 s after the restoration.

Change: an entry that leaves watching to readers lists each kind once, 2.5 to 4.5 s after it has heard of the new era, and releases the removals that its own listing holds back. The spread keeps the listings of many entries below the store's limit by calculation; it has not been measured on a large deployment.

--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -58,6 +58,12 @@
 const READER_CHECK_INTERVAL_MS = 250;
 /** Upper bound of the random delay of a listing after the store has returned with an older copy, in milliseconds. */
 const MAX_RELIST_DELAY_MS = 200;
+/**
+ * Delay of a listing by entries that leave watching to the readers, in milliseconds: after the removals that the readers hold
+ * back, and spread so that many entries do not exceed the store's limit of calls.
+ */
+const MIN_OTHERS_RELIST_DELAY_MS = 2_500;
+const MAX_OTHERS_RELIST_DELAY_MS = 4_500;
 /** Random share of the wait: watches that one change ended at the same time then time out at different times. */
 const WAIT_JITTER = 0.8;
 
@@ -82,7 +88,11 @@
     this.#guard = createRemovalGuard(kind);
     options.source.onRestored(() => {
       this.#guard.recordRestoration(options.clock.now());
-      this.#listAgain();
+      if (this.#isReadByOthers()) {
+        this.#listLater();
+      } else {
+        this.#listAgain(MAX_RELIST_DELAY_MS * options.random.fraction());
+      }
     });
     options.storeHealth.onReachable((outageMs) => {
       this.#guard.recordOutage(outageMs, options.clock.now());
@@ -96,6 +106,7 @@
 
   async step(): Promise<void> {
     if (this.#isReadByOthers()) {
+      this.#releaseHeld();
       this.#schedule(READER_CHECK_INTERVAL_MS);
       return;
     }
@@ -124,14 +135,26 @@
   }
 
   /** Lists the kind soon instead of waiting for a watch that the store may never answer. */
-  #listAgain(): void {
-    if (this.#isListing || this.#isStopped || this.#isReadByOthers()) {
+  #listAgain(delayMs: number): void {
+    if (this.#isListing || this.#isStopped) {
       return;
     }
     this.#round += 1;
     this.#position = undefined;
     this.#cancelTimer();
-    this.#schedule(MAX_RELIST_DELAY_MS * this.#options.random.fraction());
+    this.#schedule(delayMs);
+  }
+
+  /**
+   * Lists the kind once although others watch it. An entry that has started since does not know what the copy lacks, so that
+   * its records are taken as complete without the removals that the readers hold back.
+   */
+  #listLater(): void {
+    const { clock, random } = this.#options;
+    const spreadMs = (MAX_OTHERS_RELIST_DELAY_MS - MIN_OTHERS_RELIST_DELAY_MS) * random.fraction();
+    clock.after(MIN_OTHERS_RELIST_DELAY_MS + spreadMs, () => {
+      this.#listAgain(0);
+    });
   }
 
   async #list(): Promise<boolean> {
@@ -178,7 +201,7 @@
     if (present.length > 0) {
       onChanges();
     }
-    this.#releaseHeld(this.#position);
+    this.#releaseHeld();
     return true;
   }
 
@@ -206,11 +229,11 @@
   }
 
   /** Applies the removals that were held back, once their objects have had time to be written again. */
-  #releaseHeld(position: StorePosition): void {
+  #releaseHeld(): void {
     const { holder, clock, onChanges } = this.#options;
     const released = this.#guard.release(clock.now());
     if (released.length > 0) {
-      holder.merge(released, this.#completePosition(position));
+      holder.merge(released, this.#position === undefined ? {} : this.#completePosition(this.#position));
       onChanges();
     }
   }
--- a/packages/membership/test/restored-store.test.ts
+++ b/packages/membership/test/restored-store.test.ts
@@ -13,9 +13,12 @@
 import {
   type Catalogue,
   type EntryMember,
+  isBehind,
   listEntries,
   listServers,
+  newestPositions,
   RecordKind,
+  recordsSince,
   type Registration,
   type RegistryRecord,
   type RegistrySource,
@@ -144,8 +147,11 @@
 
 const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
-async function startEntry(store: CopiedStore): Promise<Entry> {
-  const clock = createManualClock();
+async function startEntry(
+  store: CopiedStore,
+  { clock = createManualClock(), isReader = true } = {},
+): Promise<Entry> {
+  const isShared = !isReader;
   const holder = createRegistryHolder({ clock, logger, expiryMs: EXPIRY_MS, onDeferred: ignore });
   createFollower({
     source: store,
@@ -155,13 +161,13 @@
     logger,
     watchSettings: {
       [RecordKind.Catalogue]: settings,
-      [RecordKind.Server]: settings,
-      [RecordKind.Entry]: settings,
-      [RecordKind.Quarantine]: settings,
+      [RecordKind.Server]: { ...settings, isShared },
+      [RecordKind.Entry]: { ...settings, isShared },
+      [RecordKind.Quarantine]: { ...settings, isShared },
     },
     storeHealth: createStoreHealth(clock, logger),
     linkedEntryCount: () => 0,
-    isReader: () => true,
+    isReader: () => isReader,
     onChanges: ignore,
   }).start();
   await settle();
@@ -183,6 +189,15 @@
   };
 }
 
+/** Transfers the records that an entry lacks from a linked one, as it does when that one announces them. */
+function pull(to: Entry, from: Entry): void {
+  const registry = from.holder.current();
+  const { positions } = to.holder.current();
+  if (isBehind(positions, newestPositions(registry))) {
+    to.holder.merge(recordsSince(registry, positions), registry.positions);
+  }
+}
+
 describe('an entry whose store returns with an older copy', () => {
   it('takes a version whose revision is lower than the highest one before', async () => {
     const store = new CopiedStore();
@@ -340,6 +355,26 @@
     );
   });
 
+  it('drops a server that the copy lacks, also if another entry has started since', async () => {
+    const store = new CopiedStore();
+    store.write(RecordKind.Server, 's1', server('s1'));
+    const copy = store.copy();
+    store.write(RecordKind.Server, 's2', server('s2'));
+    const clock = createManualClock();
+    const reader = await startEntry(store, { clock });
+    const other = await startEntry(store, { clock, isReader: false });
+    store.restore(copy);
+    const started = await startEntry(store, { clock });
+    for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 500) {
+      pull(other, started);
+      pull(other, reader);
+      await reader.advance(500);
+      store.write(RecordKind.Server, 's1', server('s1'));
+    }
+    assert.deepEqual(reader.readyServers(), ['s1']);
+    assert.deepEqual(other.readyServers(), ['s1']);
+  });
+
   it('registers again at once, and not with a lease of the era before', async () => {
     const store = new CopiedStore();
     const copy = store.copy();
