CONFIG: a deferred record that a listing lacks is dropped

Requests went on to a server that had left before two restorations, until the entry was restarted.

Cause: the first copy listed the server again, so that its record was deferred. The second copy lacked it; no removal was made for it, since the server was known as removed, and the deferred record was merged at its time. It is the same when a listing replaces a watch whose history is gone after the store has dropped the record.

Evidence: `takes no server back from a copy after the store has returned with one that lacks it` failed before: ['s1'] in place of [].

Change: a listing drops the deferred records of its kind that it lacks, unless they are later than its position.

--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -168,6 +168,7 @@
     this.#recordCall('', true);
     const { position, records } = listed.value;
     this.#position = position;
+    holder.dropMissing(this.#kind, listed.value);
     const applied = this.#guard.holdMissing(holder.current(), listed.value, clock.now());
     holder.merge(applied, this.#completePosition(position));
     logger.info('registry listed', {
--- a/packages/membership/src/registry-holder.ts
+++ b/packages/membership/src/registry-holder.ts
@@ -9,6 +9,7 @@
   keyOf,
   mergeRecords,
   type Positions,
+  type RecordBatch,
   type RecordKind,
   type Registry,
   type RegistryRecord,
@@ -22,6 +23,8 @@
    * era is later, are merged only after a time within which their objects are written again or expire.
    */
   merge(records: readonly RegistryRecord[], positions: Partial<Positions>): void;
+  /** Drops the records that are not merged yet and that a listing of their kind, begun after them, lacks. */
+  dropMissing(kind: RecordKind, listing: RecordBatch): void;
   /** Adds a listener that is called after each merge, also one that changed nothing, with the registry after and before. */
   onChange(handle: (after: Registry, before: Registry) => void): void;
 }
@@ -70,6 +73,15 @@
     this.#replace(mergeRecords(this.#registry, certain, this.#complete(positions)));
   }
 
+  dropMissing(kind: RecordKind, { records, position }: RecordBatch): void {
+    const listed = new Set(records.map(keyOf));
+    for (const [key, deferred] of this.#doubtful) {
+      if (deferred.kind === kind && !listed.has(key) && isAfter(position, deferred.position)) {
+        this.#doubtful.delete(key);
+      }
+    }
+  }
+
   onChange(handle: (after: Registry, before: Registry) => void): void {
     this.#handlers.push(handle);
   }
--- a/packages/membership/test/restored-store.test.ts
+++ b/packages/membership/test/restored-store.test.ts
@@ -375,6 +375,21 @@
     assert.deepEqual(other.readyServers(), ['s1']);
   });
 
+  it('takes no server back from a copy after the store has returned with one that lacks it', async () => {
+    const store = new CopiedStore();
+    const without = store.copy();
+    store.write(RecordKind.Server, 's1', server('s1'));
+    const copy = store.copy();
+    const entry = await startEntry(store);
+    store.remove(RecordKind.Server, 's1');
+    await entry.advance(1_000);
+    store.restore(copy);
+    await entry.advance(1_000);
+    store.restore(without);
+    await entry.advance(20_000);
+    assert.deepEqual(entry.readyServers(), []);
+  });
+
   it('registers again at once, and not with a lease of the era before', async () => {
     const store = new CopiedStore();
     const copy = store.copy();
