Entry: no wait of a request ends after its deadline

A caller whose request was in doubt shortly before its deadline got its answer after it. In tests on a manual clock with a deadline of 1,500 ms, completions ended at 1,630 ms (the engine was silent and no side could serve the rest), 1,585 ms (a probe was not answered) and 3,855 ms (the link was lost and dialling took long); an idempotent call ended at 1,515 ms and a call that runs once at 3,905 ms. With sides that could not be reached for 3 s, a completion was even served after its deadline.

Cause: the pauses between queries, the wait for answers to probes, and the wait for a link were not bounded by the time left; the caller's time was checked only before each of them.

These waits now end with the time left. A query that runs out of time keeps the offers that were received; a probe that is still pending keeps its own time-out, so that a short rest of time ejects no server. An offer that arrives too late to be used is not submitted, and the request ends as not run instead of unknown.

The test of silent engines also states the measured time when it fails. The results of submissions moved to a file of their own, without a change.

--- a/packages/channel/src/process.ts
+++ b/packages/channel/src/process.ts
@@ -87,6 +87,25 @@
   return (settled as { readonly value: Value }).value;
 }
 
+/**
+ * Waits for a promise, with a timeout; used with `yield*`.
+ *
+ * @param promise - a promise that does not reject
+ * @param clock - runs the timeout
+ * @param waitMs - the timeout in milliseconds
+ * @returns the value of the promise, or `timedOut`
+ */
+export function* settleWithin<Value>(
+  promise: Promise<Value>,
+  clock: Clock,
+  waitMs: number,
+): ProcessBody<Received<Value>> {
+  const channel = createChannel<{ readonly value: Value }>(1);
+  void promise.then((value) => channel.send({ value }));
+  const received = yield* receiveWithin(channel, clock, waitMs);
+  return received.timedOut ? received : { timedOut: false, value: received.value.value };
+}
+
 /**
  * Waits for a given time; used with `yield*`.
  *
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -1,6 +1,6 @@
 /** Serves calls of plain services: probes sides, binds idempotency keys, submits and retries. */
 import { createHash } from 'node:crypto';
-import { pause, type ProcessBody, receiveWithin, settle } from '@toucanbend/channel';
+import { pause, type ProcessBody, receiveWithin, settle, settleWithin } from '@toucanbend/channel';
 import { Outcome, Reason, RequestKind, estimateTokens, type WorkDescription } from '@toucanbend/core';
 import { DecisionKind } from '@toucanbend/observability';
 import { FailureKind, type Location } from '@toucanbend/routing';
@@ -12,24 +12,11 @@
 import { type Inbox, InboxMessageType } from './inbox.js';
 import { gatherOffers, type Offers, type ReceivedOffer } from './offers.js';
 import { type CallAnswer, type CallRequest, latestQueryAtMs, type RequestEnd } from './request.js';
+import { type SubmissionEnd, SubmissionResult, submissionResults } from './submission.js';
 
 const RETRY_DELAY_MS = 50;
 const VOID_TIMEOUT_MS = 200;
 
-/** Result of submitting a call to one side. */
-enum SubmissionResult {
-  Complete = 'complete',
-  /** The call did not run under this token or attempt and never will, so a retry is safe. */
-  NotRun = 'not_run',
-  /** The call may have run. */
-  Unknown = 'unknown',
-}
-
-interface SubmissionEnd {
-  readonly result: SubmissionResult;
-  readonly reason: Reason;
-}
-
 /** An execution token together with the server that minted it. */
 interface TokenGrant {
   readonly server: KnownServer;
@@ -88,9 +75,12 @@
           return requestEnd(Outcome.NotRun, offers.reason, offers.retryAfterMs);
         }
         failed.clear();
-        yield* pause(this.#context.clock, RETRY_DELAY_MS);
+        yield* this.#pauseBeforeRetry();
         continue;
       }
+      if (this.#timeLeftMs() <= 0) {
+        break;
+      }
       const end = yield* this.#submit(offers.best.known, offers.best.link, undefined);
       if (end.result === SubmissionResult.Complete) {
         return requestEnd(Outcome.Complete, Reason.None);
@@ -125,7 +115,7 @@
       if (!this.#context.mayRetry()) {
         return requestEnd(Outcome.NotRun, end.reason, RETRY_DELAY_MS);
       }
-      yield* pause(this.#context.clock, RETRY_DELAY_MS);
+      yield* this.#pauseBeforeRetry();
     }
     return requestEnd(Outcome.NotRun, this.#callerGone ? Reason.Cancelled : Reason.DeadlinePassed);
   }
@@ -200,7 +190,9 @@
     if (bound.kind === BindResultKind.AlreadyBound) {
       return this.#join(bound);
     }
-    const isNeverRun = (yield* settle(voided)) === TokenState.Voided && lastModRevision === 0;
+    const state = yield* settleWithin(voided, this.#context.clock, this.#timeLeftMs());
+    const isVoided = !state.timedOut && state.value === TokenState.Voided;
+    const isNeverRun = isVoided && lastModRevision === 0;
     const outcome = isNeverRun ? Outcome.NotRun : Outcome.Unknown;
     return { end: requestEnd(outcome, Reason.StoreUnavailable, RETRY_DELAY_MS) };
   }
@@ -213,21 +205,23 @@
     const isBound = grant.modRevision > 0 || this.#request.idempotencyKey !== undefined;
     let wasSent = false;
     while (this.#timeLeftMs() > 0) {
-      const link = yield* settle(this.#context.exchange.connect(grant.server));
-      if (link.isOk()) {
-        if (!grant.token.startsWith(`${link.value.peer.incarnation}/`)) {
+      const { clock, exchange } = this.#context;
+      const connected = yield* settleWithin(exchange.connect(grant.server), clock, this.#timeLeftMs());
+      if (!connected.timedOut && connected.value.isOk()) {
+        const link = connected.value.value;
+        if (!grant.token.startsWith(`${link.peer.incarnation}/`)) {
           const mayHaveRun = wasSent || isBound;
           const result = mayHaveRun ? SubmissionResult.Unknown : SubmissionResult.NotRun;
           return { result, reason: Reason.TokenVoid };
         }
         wasSent = true;
-        const end = yield* this.#submit(grant.server, link.value, grant.token);
+        const end = yield* this.#submit(grant.server, link, grant.token);
         const isLinkLost = end.result === SubmissionResult.Unknown && end.reason === Reason.LinkLost;
         if (!isLinkLost) {
           return end;
         }
       }
-      yield* pause(this.#context.clock, RETRY_DELAY_MS);
+      yield* this.#pauseBeforeRetry();
     }
     const result = wasSent || isBound ? SubmissionResult.Unknown : SubmissionResult.NotRun;
     return { result, reason: Reason.DeadlinePassed };
@@ -285,6 +279,11 @@
     }
   }
 
+  /** Waits before a retry, but not beyond the time in which the caller must be answered. */
+  *#pauseBeforeRetry(): ProcessBody {
+    yield* pause(this.#context.clock, Math.min(RETRY_DELAY_MS, this.#timeLeftMs()));
+  }
+
   #offers(mint: boolean, excluded: ReadonlySet<string>): ReturnType<typeof gatherOffers> {
     return gatherOffers(this.#context, this.#location, {
       requestId: this.#request.requestId,
@@ -317,12 +316,6 @@
   }
 }
 
-const submissionResults: Readonly<Record<Outcome, SubmissionResult>> = {
-  [Outcome.Complete]: SubmissionResult.Complete,
-  [Outcome.NotRun]: SubmissionResult.NotRun,
-  [Outcome.Unknown]: SubmissionResult.Unknown,
-};
-
 /**
  * Serves a call of a plain service. Call it with `yield*`.
  *
--- a/packages/entry/src/completion.ts
+++ b/packages/entry/src/completion.ts
@@ -1,5 +1,5 @@
 /** Serves completions: resumes at another server after a failure and delivers each token exactly once. */
-import { pause, type ProcessBody, receiveWithin, settle } from '@toucanbend/channel';
+import { pause, type ProcessBody, receiveWithin, settleWithin } from '@toucanbend/channel';
 import { Outcome, Reason, RequestKind, estimateTokens, type WorkDescription } from '@toucanbend/core';
 import { DecisionKind } from '@toucanbend/observability';
 import { FailureKind, type Location } from '@toucanbend/routing';
@@ -95,12 +95,13 @@
           return this.#end(offers.reason, offers.retryAfterMs);
         }
         this.#progress.failed.clear();
-        yield* pause(
-          this.#context.clock,
-          Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** (failedQueries - 1)),
-        );
+        const delayMs = Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** (failedQueries - 1));
+        yield* pause(this.#context.clock, Math.min(delayMs, this.#timeLeftMs()));
         continue;
       }
+      if (this.#timeLeftMs() <= 0) {
+        break;
+      }
       const end = yield* this.#attempt(offers.best);
       this.#progress.attempt += 1;
       const final = this.#conclude(end, offers.best.server);
@@ -261,18 +262,23 @@
 
   /**
    * Requests the rest of the answer from the same side over a new link. Returns undefined if the side cannot be
-   * reached or has restarted since.
+   * reached in time or has restarted since.
    */
   *#reattach(server: KnownServer, lost: Link): ProcessBody<Link | undefined> {
     const { requestId } = this.#request;
     const { attempt, delivered } = this.#progress;
-    const link = yield* settle(this.#context.exchange.connect(server));
-    if (link.isErr() || link.value.peer.incarnation !== lost.peer.incarnation) {
+    const { clock, exchange } = this.#context;
+    const connected = yield* settleWithin(exchange.connect(server), clock, this.#timeLeftMs());
+    if (connected.timedOut || connected.value.isErr()) {
+      return undefined;
+    }
+    const link = connected.value.value;
+    if (link.peer.incarnation !== lost.peer.incarnation) {
       return undefined;
     }
-    this.#context.exchange.bind(requestId, attempt, link.value, this.#inbox);
-    link.value.send({ type: FrameType.Attach, requestId, attempt, offset: delivered.length });
-    return link.value;
+    exchange.bind(requestId, attempt, link, this.#inbox);
+    link.send({ type: FrameType.Attach, requestId, attempt, offset: delivered.length });
+    return link;
   }
 
   #handleFrame(frame: AttemptFrame, link: Link): AttemptEnd | undefined {
--- a/packages/entry/src/offers.ts
+++ b/packages/entry/src/offers.ts
@@ -1,5 +1,5 @@
 /** Probes sides for offers and chooses the cheapest one. */
-import { type ProcessBody, settle } from '@toucanbend/channel';
+import { type ProcessBody, settleWithin } from '@toucanbend/channel';
 import { Reason, type WorkDescription } from '@toucanbend/core';
 import { DecisionKind } from '@toucanbend/observability';
 import {
@@ -40,6 +40,7 @@
   readonly requestId: string;
   readonly attempt: number;
   readonly work: WorkDescription;
+  /** Time until the query ends with the answers received by then, in milliseconds. */
   readonly timeLeftMs: number;
   /** Whether each accepting side mints an execution token. */
   readonly mint: boolean;
@@ -57,8 +58,9 @@
   context: EntryContext,
   known: KnownServer,
   query: OfferQuery,
+  timeLeftMs: number,
 ): Promise<ReceivedOffer | undefined> {
-  const answer = await context.exchange.probe(known, query.work, query.timeLeftMs, query.mint);
+  const answer = await context.exchange.probe(known, query.work, timeLeftMs, query.mint);
   if (answer === undefined) {
     return undefined;
   }
@@ -162,6 +164,21 @@
   }
 }
 
+/** Probes servers at the same time and returns the offers that are received within the time left. */
+function* probeRound(
+  context: EntryContext,
+  query: OfferQuery,
+  servers: readonly KnownServer[],
+  timeLeftMs: number,
+): ProcessBody<ReceivedOffer[]> {
+  const answers: (ReceivedOffer | undefined)[] = servers.map(() => undefined);
+  const probes = servers.map(async (server, index) => {
+    answers[index] = await probeServer(context, server, query, timeLeftMs);
+  });
+  yield* settleWithin(Promise.all(probes), context.clock, timeLeftMs);
+  return answers.filter((answer) => answer !== undefined);
+}
+
 /**
  * Probes sides in rounds until an offer costs at most {@link SPILLOVER_COST_SHARE} of the first-token limit.
  *
@@ -178,12 +195,16 @@
   query: OfferQuery,
 ): ProcessBody<Offers> {
   const received: ReceivedOffer[] = [];
+  const endAtMs = context.clock.now() + query.timeLeftMs;
   let askedCount = 0;
   for (const round of queryRounds(context, location, query, received)) {
     const asked = round.servers.flatMap((view) => context.directory.find(view.name) ?? []);
+    const timeLeftMs = endAtMs - context.clock.now();
+    if (timeLeftMs <= 0) {
+      break;
+    }
     askedCount += asked.length;
-    const answers = yield* settle(Promise.all(asked.map((server) => probeServer(context, server, query))));
-    received.push(...answers.filter((answer) => answer !== undefined));
+    received.push(...(yield* probeRound(context, query, asked, timeLeftMs)));
     const best = chooseOffer(received);
     const names = asked.map((server) => server.name);
     logChoice(context, query, round, names, received, best);
--- a/packages/entry/test/fixture.ts
+++ b/packages/entry/test/fixture.ts
@@ -4,7 +4,15 @@
 import { checkDocument, createConfigurationHolder } from '@toucanbend/configuration';
 import { createManualClock, createRandom, Outcome, Rank, Reason, RequestKind } from '@toucanbend/core';
 import { createMetrics, type Logger } from '@toucanbend/observability';
-import { type Frame, type FrameOf, FrameType, type Link, LinkErrorKind, NodeRole } from '@toucanbend/wire';
+import {
+  type Frame,
+  type FrameOf,
+  FrameType,
+  type Link,
+  LinkEnd,
+  LinkErrorKind,
+  NodeRole,
+} from '@toucanbend/wire';
 import { err, ok } from 'neverthrow';
 import {
   createBindings,
@@ -21,6 +29,8 @@
 /** Longer than an entry waits for the answer to a probe. */
 export const LATE_MS = 100;
 export const FIRST_TOKEN_LIMIT_MS = 2_000;
+const INCARNATION = 'run-1';
+const DEADLINE_MS = 60_000;
 const STEP_MS = 5;
 const LOCATION = { dataCentre: 'dc-1', region: 'bagmati' };
 const SIDES = ['a', 'b'] as const;
@@ -34,6 +44,11 @@
   /** Why it rejects requests; `none` if it accepts them. */
   reason: Reason;
   isReachable: boolean;
+  /** Time until a link to it is open or fails, in milliseconds. */
+  dialMs: number;
+  /** How requests sent to it end, and after which time in milliseconds. */
+  outcome: Outcome;
+  runMs: number;
   /** Number of probes that it received. */
   probes: number;
 }
@@ -67,10 +82,12 @@
   explain: () => [],
 };
 
-function bidOf({ probeId }: FrameOf<FrameType.Probe>, reason: Reason): FrameOf<FrameType.Bid> {
+function bidOf({ probeId, mint }: FrameOf<FrameType.Probe>, reason: Reason): FrameOf<FrameType.Bid> {
   const accepted = reason === Reason.None;
   const predicted = { firstTokenMs: 10, finishMs: 20, cachedTokens: 0, harmMs: 0 };
-  return { type: FrameType.Bid, probeId, accepted, reason, retryAfterMs: accepted ? 0 : 50, ...predicted };
+  const token = mint && accepted ? { token: `${INCARNATION}/${String(probeId)}` } : {};
+  const retryAfterMs = accepted ? 0 : 50;
+  return { type: FrameType.Bid, probeId, accepted, reason, retryAfterMs, ...predicted, ...token };
 }
 
 /** How a request of the test ended, and when. */
@@ -79,13 +96,23 @@
   readonly atMs: number;
 }
 
+function healthySide(): SideState {
+  return {
+    delayMs: 0,
+    reason: Reason.None,
+    isReachable: true,
+    dialMs: 0,
+    outcome: Outcome.Complete,
+    runMs: 0,
+    probes: 0,
+  };
+}
+
 /** An entry's request processes, and the sides that they probe. */
 export class Fixture {
   readonly clock = createManualClock();
-  readonly sides: Readonly<Record<SideName, SideState>> = {
-    a: { delayMs: 0, reason: Reason.None, isReachable: true, probes: 0 },
-    b: { delayMs: 0, reason: Reason.None, isReachable: true, probes: 0 },
-  };
+  readonly sides: Readonly<Record<SideName, SideState>> = { a: healthySide(), b: healthySide() };
+  readonly #endLink = new Map<SideName, () => void>();
   readonly #context: EntryContext;
   #requests = 0;
 
@@ -99,13 +126,15 @@
       SIDES.map((name) => [`${name}:7001`, { side: this.sides[name], link: this.#link(name) }]),
     );
     const pool = {
-      get: (address: string) => {
+      get: async (address: string) => {
         const found = links.get(address);
-        return Promise.resolve(
-          found?.side.isReachable === true
-            ? ok(found.link)
-            : err({ kind: LinkErrorKind.Unreachable, message: `${address} is not reachable` }),
-        );
+        const dialMs = found?.side.dialMs ?? 0;
+        if (dialMs > 0) {
+          await new Promise<void>((resolve) => clock.after(dialMs, resolve));
+        }
+        return found?.side.isReachable === true
+          ? ok(found.link)
+          : err({ kind: LinkErrorKind.Unreachable, message: `${address} is not reachable` });
       },
       find: () => undefined,
       closeIdle: () => undefined,
@@ -138,25 +167,34 @@
       bindings: createBindings(store, clock, 1_000),
       mayRetry: () => true,
     };
+    links.forEach(({ link }) => {
+      this.#context.exchange.addLink(link);
+    });
   }
 
-  complete(): Promise<Ended> {
-    const request = { ...this.#request(), kind: RequestKind.Model, target: 'model-a' } as const;
+  complete(deadlineMs?: number): Promise<Ended> {
+    const request = { ...this.#request(deadlineMs), kind: RequestKind.Model, target: 'model-a' } as const;
     const parts = { promptTokens: 10, maxTokens: 1, prefix: [] };
     return this.#run((inbox) =>
       serveCompletion(this.#context, LOCATION, { ...request, ...parts }, inbox, () => undefined),
     );
   }
 
-  call(): Promise<Ended> {
-    const request = { ...this.#request(), kind: RequestKind.Service, target: 'orders' } as const;
+  call(deadlineMs?: number, isIdempotent = true): Promise<Ended> {
+    const request = { ...this.#request(deadlineMs), kind: RequestKind.Service, target: 'orders' } as const;
     const call = { method: 'GET', path: '/orders', contentType: 'text/plain' };
-    const parts = { call, isIdempotent: true, idempotencyKey: undefined };
+    const parts = { call, isIdempotent, idempotencyKey: undefined };
     return this.#run((inbox) =>
       serveCall(this.#context, LOCATION, { ...request, ...parts }, inbox, () => undefined),
     );
   }
 
+  /** Ends the open link to a side and makes dialling a new one take a time in milliseconds. */
+  loseLink(name: SideName, dialMs: number): void {
+    this.sides[name].dialMs = dialMs;
+    this.#endLink.get(name)?.();
+  }
+
   /** Ejects side b by one late answer, after which it answers in time; side a then starts to leave. */
   async ejectThenLeave(request: () => Promise<Ended>): Promise<void> {
     this.sides.b.delayMs = LATE_MS;
@@ -195,7 +233,7 @@
     }
   }
 
-  #request(): {
+  #request(deadlineMs = DEADLINE_MS): {
     requestId: string;
     account: string;
     weight: number;
@@ -213,7 +251,7 @@
       weight: 1,
       rank: Rank.Standard,
       receivedAtMs,
-      deadlineAtMs: receivedAtMs + 60_000,
+      deadlineAtMs: receivedAtMs + deadlineMs,
       firstTokenLimitMs: FIRST_TOKEN_LIMIT_MS,
       body: Buffer.from('vane 17'),
     };
@@ -225,7 +263,7 @@
       this.#context.exchange.handle(link, frame);
     };
     const link: Link = {
-      peer: { node: `host-${name}`, role: NodeRole.Side, dataCentre: 'dc-1', incarnation: 'run-1' },
+      peer: { node: `host-${name}`, role: NodeRole.Side, dataCentre: 'dc-1', incarnation: INCARNATION },
       send: (frame) => {
         if (frame.type === FrameType.Probe) {
           side.probes += 1;
@@ -238,15 +276,20 @@
           });
         } else if (frame.type === FrameType.Submit) {
           const { requestId, attempt } = frame;
-          const done = { outcome: Outcome.Complete, reason: Reason.None, retryAfterMs: 0, tokens: 0 };
-          this.clock.after(0, () => {
-            answer({ type: FrameType.Done, requestId, attempt, ...done });
+          const { outcome, runMs } = side;
+          const reason = outcome === Outcome.Complete ? Reason.None : Reason.ServerFailed;
+          this.clock.after(runMs, () => {
+            answer({ type: FrameType.Done, requestId, attempt, outcome, reason, retryAfterMs: 0, tokens: 0 });
           });
         }
         return true;
       },
       onFrame: () => undefined,
-      onEnd: () => undefined,
+      onEnd: (handle) => {
+        this.#endLink.set(name, () => {
+          handle(LinkEnd.Closed);
+        });
+      },
       setActive: () => undefined,
       queuedBytes: () => 0,
       close: () => undefined,
--- a/test/streams.test.ts
+++ b/test/streams.test.ts
@@ -189,7 +189,7 @@
     });
     await Promise.all(fleet.backends.map((backend) => callJson(backend.port, '/fault', EngineFault.None)));
     assert.equal(result.outcome, 'unknown');
-    assert.ok(result.elapsedMs < 1_500);
+    assert.ok(result.elapsedMs < 1_500, `answered after ${String(result.elapsedMs)} ms`);
   });
 
   test('the caller receives an answer before its deadline when every side is frozen', async () => {
