Membership: numbers of updates are limited after they are read

Part of the cause: the schemas of load updates limited each number by a transform, which the parser runs on a slower path. They now check plain numbers, and the limits are applied to the decoded fields; the one function for it is in core.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -368,7 +368,7 @@
   #canFailOver(attempt: RunningAttempt): boolean {
     const { clock, retries, entryCount } = this.#context;
     const { route, service } = this.#request;
-    const history = attempt.isCounted
+    const history = attempt.isInHistory
       ? this.#attempts.history()
       : recordFailedAttempt(this.#attempts.history(), AttemptFailure.InDoubt);
     if (this.#isQuarantinedMidway() || !mayRetry(route.repeat, history, route.attempts)) {
--- a/packages/forwarding/src/request-attempts.ts
+++ b/packages/forwarding/src/request-attempts.ts
@@ -35,8 +35,8 @@
   let running: readonly RunningAttempt[] = [];
   let history = emptyHistory;
   const countFailure = (attempt: RunningAttempt, failure: AttemptFailure): void => {
-    if (!attempt.isCounted) {
-      attempt.isCounted = true;
+    if (!attempt.isInHistory) {
+      attempt.isInHistory = true;
       history = recordFailedAttempt(history, failure);
     }
   };
--- a/packages/forwarding/src/running-attempt.ts
+++ b/packages/forwarding/src/running-attempt.ts
@@ -26,7 +26,7 @@
   /** Whether the memory reserved for the attempt is no longer in use at its engines. */
   isMemoryIdle: boolean;
   /** Whether the attempt is in the history of the request. */
-  isCounted: boolean;
+  isInHistory: boolean;
   /** Whether the connection was established, so that the server may have received the request. */
   isSent(): boolean;
   /** Returns when the last event arrived; before the first event, when the request was sent. */
@@ -109,7 +109,7 @@
     expectedMs,
     dispatchedAtMs,
     isMemoryIdle: false,
-    isCounted: false,
+    isInHistory: false,
     isSent: attempt.isSent,
     lastEventAtMs: () => lastEventAtMs,
     recordEvent: () => {
--- a/packages/membership/src/registry-holder.ts
+++ b/packages/membership/src/registry-holder.ts
@@ -46,7 +46,7 @@
 class CurrentRegistry implements RegistryHolder {
   readonly #options: RegistryHolderOptions;
   readonly #handlers: ((after: Registry, before: Registry) => void)[] = [];
-  readonly #doubtful = new Map<string, RegistryRecord>();
+  readonly #deferred = new Map<string, RegistryRecord>();
   #registry = emptyRegistry;
   /** The latest era of any record or position. */
   #era = 0;
@@ -75,9 +75,9 @@
 
   dropMissing(kind: RecordKind, { records, position }: RecordBatch): void {
     const listed = new Set(records.map(keyOf));
-    for (const [key, deferred] of this.#doubtful) {
+    for (const [key, deferred] of this.#deferred) {
       if (deferred.kind === kind && !listed.has(key) && isAfter(position, deferred.position)) {
-        this.#doubtful.delete(key);
+        this.#deferred.delete(key);
       }
     }
   }
@@ -98,16 +98,16 @@
   #recordEra(records: readonly RegistryRecord[], positions: Partial<Positions>): void {
     const stated = [...records.map((record) => record.position), ...Object.values(positions)];
     this.#era = stated.reduce((latest, { era }) => Math.max(latest, era), this.#era);
-    for (const [key, { position }] of this.#doubtful) {
+    for (const [key, { position }] of this.#deferred) {
       if (position.era < this.#era) {
-        this.#doubtful.delete(key);
+        this.#deferred.delete(key);
       }
     }
   }
 
   /** Returns the positions without the kinds of which a record is still to be merged: other entries pull from them. */
   #complete(positions: Partial<Positions>): Partial<Positions> {
-    const incomplete = new Set<string>([...this.#doubtful.values()].map((record) => record.kind));
+    const incomplete = new Set<string>([...this.#deferred.values()].map((record) => record.kind));
     const complete = Object.entries(positions).filter(([kind]) => !incomplete.has(kind));
     return Object.fromEntries(complete) as Partial<Record<RecordKind, Positions[RecordKind]>>;
   }
@@ -115,9 +115,9 @@
   /** Drops the deferred record of the same object, unless it is later: other entries may still send records of an earlier era. */
   #dropSuperseded(record: RegistryRecord): void {
     const key = keyOf(record);
-    const deferred = this.#doubtful.get(key);
+    const deferred = this.#deferred.get(key);
     if (deferred !== undefined && !isAfter(deferred.position, record.position)) {
-      this.#doubtful.delete(key);
+      this.#deferred.delete(key);
     }
   }
 
@@ -125,11 +125,11 @@
     const { clock, logger, expiryMs, onDeferred } = this.#options;
     const key = keyOf(record);
     const { era, revision } = record.position;
-    const deferred = this.#doubtful.get(key);
+    const deferred = this.#deferred.get(key);
     if (deferred !== undefined && !isAfter(record.position, deferred.position)) {
       return;
     }
-    this.#doubtful.set(key, record);
+    this.#deferred.set(key, record);
     if (deferred?.position.era === era) {
       return;
     }
@@ -144,9 +144,9 @@
     });
     onDeferred(record);
     clock.after(expiryMs + PROPAGATION_MS, () => {
-      const latest = this.#doubtful.get(key);
+      const latest = this.#deferred.get(key);
       if (latest?.position.era === era) {
-        this.#doubtful.delete(key);
+        this.#deferred.delete(key);
         this.#replace(mergeRecords(this.#registry, [latest], {}));
       }
     });
--- a/packages/placement/src/load-tracker.ts
+++ b/packages/placement/src/load-tracker.ts
@@ -1,4 +1,5 @@
 /** The load tracker: records the jobs at each backend server, of this entry and of the other entries. */
+import { clamp } from '@toucanbend/core';
 import {
   addRequest,
   advanceEngine,
@@ -89,10 +90,6 @@
   readonly networkDelayMs: number;
 }
 
-function clamp(value: number, min: number, max: number): number {
-  return Math.min(max, Math.max(min, value));
-}
-
 function updateMean(mean: number, observation: number): number {
   return mean + OBSERVATION_WEIGHT * (observation - mean);
 }
--- a/packages/placement/src/load-update.ts
+++ b/packages/placement/src/load-update.ts
@@ -2,7 +2,7 @@
  * Load updates, by which entries inform one another about the load of backend servers, and their compact encoding as
  * flat arrays.
  */
-import { clampedNumber, MAX_RELATIVE_MS } from '@toucanbend/core';
+import { clamp, MAX_RELATIVE_MS } from '@toucanbend/core';
 import { type EngineParameters, PartRole, type PromptPart } from '@toucanbend/engine-model';
 import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { z } from 'zod';
@@ -42,29 +42,33 @@
 /** Ranks are stated by operators; their order matters, their size does not. */
 const MAX_RANK = 1_000_000;
 
-const milliseconds = clampedNumber(-MAX_RELATIVE_MS, MAX_RELATIVE_MS);
-const tokens = clampedNumber(NO_TOKENS, MAX_TOKENS);
+const number = z.number();
 const placedSchema = z.tuple([
   z.literal(LoadUpdateKind.Placed),
   z.string(),
   z.string(),
   z.string(),
-  tokens,
-  tokens,
-  clampedNumber(-MAX_RANK, MAX_RANK),
-  clampedNumber(0, MAX_SENT_AGO_MS),
-  clampedNumber(0, MAX_RELATIVE_MS),
-  milliseconds,
-  milliseconds,
-  milliseconds,
-  tokens,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
   z.enum(PartRole).optional(),
-  clampedNumber(-MAX_RELATIVE_MS, MAX_READY_IN_MS).optional(),
+  number.optional(),
 ]);
 const endedSchema = z.tuple([z.literal(LoadUpdateKind.Ended), z.string(), z.string()]);
 const failedSchema = z.tuple([z.literal(LoadUpdateKind.Failed), z.string()]);
 const updateSchema = z.union([placedSchema, endedSchema, failedSchema]);
 
+/** Limits a time relative to the present, in milliseconds. */
+function clampRelative(value: number): number {
+  return clamp(value, -MAX_RELATIVE_MS, MAX_RELATIVE_MS);
+}
+
 function encodePart(part: PromptPart | undefined, nowMs: number): number[] {
   return part === undefined ? [] : [part.role, Math.round(part.readyAtMs - nowMs)];
 }
@@ -140,19 +144,27 @@
         role = PartRole.LeaderOfHolders,
         readyInMs = 0,
       ] = fields;
-      const part = wholeTokens < 0 ? undefined : { role, wholeTokens, readyAtMs: nowMs + readyInMs };
+      const readyAtMs = nowMs + clamp(readyInMs, -MAX_RELATIVE_MS, MAX_READY_IN_MS);
+      const part =
+        wholeTokens < 0 ? undefined : { role, wholeTokens: Math.min(wholeTokens, MAX_TOKENS), readyAtMs };
       const job: Job = {
         id,
         service,
         generation:
-          promptTokens < 0 ? undefined : { promptTokens, answerTokens: Math.max(0, answerTokens), part },
-        rank,
-        arrivedAtMs: nowMs - ageMs,
-        targetMs,
-        targetPauseMs,
-        deadlineAtMs: nowMs + timeLeftMs,
+          promptTokens < 0
+            ? undefined
+            : {
+                promptTokens: Math.min(promptTokens, MAX_TOKENS),
+                answerTokens: clamp(answerTokens, 0, MAX_TOKENS),
+                part,
+              },
+        rank: clamp(rank, -MAX_RANK, MAX_RANK),
+        arrivedAtMs: nowMs - clamp(ageMs, 0, MAX_RELATIVE_MS),
+        targetMs: clampRelative(targetMs),
+        targetPauseMs: clampRelative(targetPauseMs),
+        deadlineAtMs: nowMs + clampRelative(timeLeftMs),
       };
-      return { kind: LoadUpdateKind.Placed, server, job, atMs: nowMs - sentAgoMs };
+      return { kind: LoadUpdateKind.Placed, server, job, atMs: nowMs - clamp(sentAgoMs, 0, MAX_SENT_AGO_MS) };
     }
   }
 }
--- a/packages/quarantine/src/quarantine-update.ts
+++ b/packages/quarantine/src/quarantine-update.ts
@@ -1,5 +1,5 @@
 /** Updates about crashes and quarantined parts that entries send one another, and their encoding as flat arrays. */
-import { clampedNumber, MAX_RELATIVE_MS } from '@toucanbend/core';
+import { clamp, MAX_RELATIVE_MS } from '@toucanbend/core';
 import { type QuarantinedPart } from '@toucanbend/registry';
 import { z } from 'zod';
 import { type LostAttempt } from './crash-evidence.js';
@@ -27,7 +27,7 @@
 const MAX_PART_LENGTH = 256;
 const MAX_PARTS = 64;
 /** Time since the event, in milliseconds. */
-const ago = clampedNumber(0, MAX_RELATIVE_MS);
+const ago = z.number();
 const partsSchema = z.array(z.string().max(MAX_PART_LENGTH)).max(MAX_PARTS);
 const lostSchema = z.tuple([
   z.literal(QuarantineUpdateKind.Lost),
@@ -84,11 +84,14 @@
   switch (fields[0]) {
     case QuarantineUpdateKind.Lost: {
       const [kind, service, server, request, parts, agoMs] = fields;
-      return { kind, attempt: { service, server, request, parts, atMs: nowMs - agoMs } };
+      return {
+        kind,
+        attempt: { service, server, request, parts, atMs: nowMs - clamp(agoMs, 0, MAX_RELATIVE_MS) },
+      };
     }
     case QuarantineUpdateKind.Served: {
       const [kind, service, parts, agoMs] = fields;
-      return { kind, service, parts, atMs: nowMs - agoMs };
+      return { kind, service, parts, atMs: nowMs - clamp(agoMs, 0, MAX_RELATIVE_MS) };
     }
     case QuarantineUpdateKind.Quarantined: {
       const [kind, service, part, untilMs] = fields;
--- a/packages/restrictions/src/restriction-update.ts
+++ b/packages/restrictions/src/restriction-update.ts
@@ -1,5 +1,5 @@
 /** Updates about restrictions of servers that entries send one another, and their encoding as flat arrays. */
-import { clampedNumber, MAX_RELATIVE_MS } from '@toucanbend/core';
+import { clamp, MAX_RELATIVE_MS } from '@toucanbend/core';
 import { z } from 'zod';
 
 /** The kinds of updates; their values differ from those of the other updates, which travel in the same frames. */
@@ -48,8 +48,8 @@
   z.string().max(MAX_ID_LENGTH),
   bornAt,
   z.number().min(NO_LIMIT).max(MAX_PER_SECOND),
-  clampedNumber(0, MAX_RELATIVE_MS),
-  clampedNumber(-MAX_RELATIVE_MS, MAX_USED_MS),
+  z.number(),
+  z.number(),
 ]);
 
 const leavingSchema = z.tuple([
@@ -99,7 +99,7 @@
     server,
     bornAtMs,
     perSecond: perSecond < 0 ? undefined : perSecond,
-    statedAtMs: nowMs - statedAgoMs,
-    usedUntilMs: nowMs + usedForMs,
+    statedAtMs: nowMs - clamp(statedAgoMs, 0, MAX_RELATIVE_MS),
+    usedUntilMs: nowMs + clamp(usedForMs, -MAX_RELATIVE_MS, MAX_USED_MS),
   };
 }
