--- a/packages/entry/src/offers.ts
+++ b/packages/entry/src/offers.ts
@@ -131,7 +131,7 @@
  * Returns whether servers that are ejected as slow are probed after the others.
  *
  * Load pattern: while a burst leaves a machine short of processor time, sides answer a probe late and are ejected for it.
- * The only server left may be one whose side has just begun to leave, and its answer must not reject the request while an
+ * The only server left may be that of a side that has just begun to leave, and its answer must not reject the request while an
  * ejected one is free. A side that rejects for its load is conclusive, so that ejected ones are spared under overload.
  */
 function mayProbeSlow(received: readonly ReceivedOffer[], nowMs: number, untilMs: number): boolean {
--- a/packages/forwarding/src/request-placement.ts
+++ b/packages/forwarding/src/request-placement.ts
@@ -26,7 +26,7 @@
   /** Returns whether the whole answer is expected before this process ends. */
   isAnsweredInTime(decision: SendDecision): boolean;
   /**
-   * Plans an attempt that replaces one whose server is silent.
+   * Plans an attempt that replaces the one at a silent server.
    *
    * @param excluded - ids of the servers that get no further attempt
    * @param isCancelled - whether the running attempt ends before the next one begins
