LOST: an entry accepts the connections that wait for it before it stops listening

Callers' connections that the operating system had accepted were reset when the entry stopped listening, with requests that no entry had read.

Cause: before it closes the server, the entry waits for two turns of the event loop, and Node accepts one connection in each turn.

Now it waits until a turn has accepted none, or a full queue has been accepted, and the drain does not end before.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -18,7 +18,7 @@
 import { createBodyReader } from './body-reader.js';
 import { endToEndHeaders } from './headers.js';
 import { isOverloaded } from './overload.js';
-import { readPendingInput } from './pending-input.js';
+import { acceptPendingConnections, readPendingInput } from './pending-input.js';
 
 /** The HTTP server for callers. */
 export interface CallerPort {
@@ -38,8 +38,13 @@
   applyLimits(catalogue: Catalogue): void;
   /** Limits the time of the requests, by {@link ForwardingContext.answersUntilMs}. */
   startDraining(): void;
-  /** Reads the input that has arrived; then accepts no more connections, and closes idle ones. */
-  stopListening(): void;
+  /**
+   * Accepts the connections that are established and reads the input that has arrived; then accepts no more connections, and
+   * closes idle ones.
+   *
+   * @returns resolves when the port no longer listens
+   */
+  stopListening(): Promise<void>;
   /** Stops listening and closes all connections. */
   close(): void;
 }
@@ -281,13 +286,11 @@
       server.keepAliveTimeout = limits.idleTimeoutMs;
     },
     startDraining: reader.startDraining.bind(reader),
-    stopListening: () => {
-      // Connections and requests that have already arrived are accepted and answered.
-      void readPendingInput(context.clock).then(() => {
-        // The HTTP server's own method also closes connections whose answers are not sent completely.
-        NetServer.prototype.close.call(server);
-        connections.closeIdle();
-      });
+    stopListening: async () => {
+      await acceptPendingConnections(server, context.clock);
+      // The HTTP server's own method also closes connections whose answers are not sent completely.
+      NetServer.prototype.close.call(server);
+      connections.closeIdle();
     },
     close: () => {
       server.close();
--- a/packages/forwarding/test/planned-stop.test.ts
+++ b/packages/forwarding/test/planned-stop.test.ts
@@ -90,7 +90,7 @@
 
 /** Has a port stop listening, and waits until it has closed the connections that it closes. */
 async function stopListening({ callerPort }: TestGateway): Promise<void> {
-  callerPort.stopListening();
+  void callerPort.stopListening();
   for (let turn = 0; turn < 10; turn += 1) {
     await new Promise((resolve) => setImmediate(resolve));
   }
@@ -154,7 +154,7 @@
     await until(() => reader.text().endsWith('a vane') && gateway.callerPort.busyConnections() === 0);
     caller.write(headOf(paths.once));
     gateway.stopAccepting();
-    gateway.callerPort.stopListening();
+    void gateway.callerPort.stopListening();
     await until(() => reader.isClosed() || reader.text().includes(' 503 '));
     assert.match(reader.text(), /HTTP\/1.1 503 .*retry-after: 0\.020/is);
   });
@@ -171,18 +171,37 @@
       process.nextTick(resolve);
     });
     gateway.stopAccepting();
-    gateway.callerPort.stopListening();
+    void gateway.callerPort.stopListening();
     await until(() => reader.isClosed() || reader.text().includes(' 503 '));
     assert.match(reader.text(), /HTTP\/1.1 503 .*retry-after: 0\.020/is);
   });
 
+  it('is accepted if it was established before, also where many were', async () => {
+    const { gateway } = await startDeployment((socket, request) => socket.end(answerTo(request, 'a vane')));
+    const readers = Array.from({ length: 20 }, () => {
+      const caller = connect(gateway.port, '127.0.0.1');
+      caller.on('error', () => undefined);
+      open.push({ close: () => caller.destroy() });
+      caller.write(headOf(paths.once));
+      return startReading(caller);
+    });
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+    gateway.stopAccepting();
+    void gateway.callerPort.stopListening();
+    await until(() => readers.every((reader) => reader.isClosed() || reader.text().includes(' 503 ')));
+    const rejected = readers.filter((reader) => reader.text().includes(' 503 '));
+    assert.equal(rejected.length, readers.length);
+  });
+
   it('is closed if it is kept open without a request', async () => {
     const { gateway } = await startDeployment((socket, request) => socket.end(answerTo(request, 'a vane')));
     const caller = await connectTo(gateway);
     const reader = startReading(caller);
     caller.write(headOf(paths.once));
     await until(() => reader.text().endsWith('a vane') && gateway.callerPort.busyConnections() === 0);
-    gateway.callerPort.stopListening();
+    void gateway.callerPort.stopListening();
     await until(reader.isClosed);
     assert.ok(reader.isClosed());
   });
--- a/packages/gateway/src/drain.ts
+++ b/packages/gateway/src/drain.ts
@@ -29,8 +29,8 @@
   readonly graceMs: number;
   /** Number of connections on which a request is being received or processed. */
   readonly busyConnections: () => number;
-  /** Stops listening and rejects further requests on keep-alive connections. */
-  readonly close: () => void;
+  /** Stops listening and rejects further requests on keep-alive connections; resolves when no more connections are accepted. */
+  readonly close: () => Promise<void>;
 }
 
 /**
@@ -44,6 +44,7 @@
 export function drainRequests(options: DrainOptions): Promise<void> {
   const { clock, logger, graceMs, busyConnections, close } = options;
   const startedAtMs = clock.now();
+  let isClosing = false;
   let isClosed = false;
   /** Whether no connection was in use at the last check. */
   let wasQuiet = false;
@@ -51,9 +52,11 @@
   return new Promise((resolve) => {
     const check = (): void => {
       const elapsedMs = clock.now() - startedAtMs;
-      if (elapsedMs >= BALANCER_NOTICE_MS && !isClosed) {
-        isClosed = true;
-        close();
+      if (elapsedMs >= BALANCER_NOTICE_MS && !isClosing) {
+        isClosing = true;
+        void close().then(() => {
+          isClosed = true;
+        });
       }
       const isQuiet = isClosed && busyConnections() === 0;
       if ((isQuiet && wasQuiet) || elapsedMs >= graceMs - EXIT_MARGIN_MS) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -312,9 +312,9 @@
       answersUntilMs = answersUntil(clock.now(), options.graceMs);
       port.startDraining();
       registrar.stop();
-      const close = (): void => {
+      const close = (): Promise<void> => {
         isClosed = true;
-        port.stopListening();
+        return port.stopListening();
       };
       const { graceMs } = options;
       await drainRequests({ clock, logger, graceMs, busyConnections: port.busyConnections, close });
