LOST: a stream that has begun is not cancelled because its memory is listed as unused

A caller got the first event of a stream and then the end of the connection, although the server went on.

Two lists without a use of its memory cancelled an attempt before another server had accepted the request; and the notice was never withdrawn, so that a stream that sent events again was still cancelled as soon as a replacement was predicted.

Now such an attempt goes on beside its replacement once it has sent an event, and each event withdraws the notice.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -293,7 +293,7 @@
     if (!this.#canFailOver(attempt)) {
       return false;
     }
-    if (attempt.isMemoryIdle) {
+    if (this.#isAbandoned(attempt)) {
       const detail = 'reserved memory no longer in use';
       this.#fail(attempt, { failure: AttemptFailure.InDoubt, detail });
     } else {
@@ -374,13 +374,19 @@
     if (this.#isQuarantinedMidway() || !mayRetry(route.repeat, history, route.attempts)) {
       return false;
     }
-    const excluded = attempt.isMemoryIdle ? this.#triedServers : this.#excludedServers();
+    const isCancelled = this.#isAbandoned(attempt);
+    const excluded = isCancelled ? this.#triedServers : this.#excludedServers();
     return (
-      this.#placement.hasReplacement(excluded, attempt.isMemoryIdle) &&
+      this.#placement.hasReplacement(excluded, isCancelled) &&
       retries.canSpend(service.name, entryCount(), clock.now())
     );
   }
 
+  /** Returns whether the server no longer works on an attempt; a stream that has begun may only have been preempted. */
+  #isAbandoned({ isMemoryIdle, relay }: RunningAttempt): boolean {
+    return isMemoryIdle && !relay.hasStarted;
+  }
+
   #inactivityTimeoutMs({ relay, expectedMs, isMemoryIdle }: RunningAttempt): number {
     const { route } = this.#request;
     return inactivityTimeoutMs(route, {
--- a/packages/forwarding/src/running-attempt.ts
+++ b/packages/forwarding/src/running-attempt.ts
@@ -101,7 +101,7 @@
     }
   };
   const attempt = dispatch();
-  return {
+  const running: RunningAttempt = {
     number,
     server,
     helpers,
@@ -114,6 +114,7 @@
     lastEventAtMs: () => lastEventAtMs,
     recordEvent: () => {
       lastEventAtMs = clock.now();
+      running.isMemoryIdle = false;
     },
     end: () => {
       if (!isEnded) {
@@ -123,4 +124,5 @@
       }
     },
   };
+  return running;
 }
