LOST: a stream that breaks off is reset for a caller that speaks HTTP/1.0

Such a caller took a stream that had broken off for a complete one.

Cause: only answers that the server had not framed were reset when they broke off. Node sends no chunks to a caller that speaks HTTP/1.0, so that an answer of any framing ends there with its connection.

Now every answer is reset that is not sent in chunks. Found by a review; unframed-answer.test: the caller read an orderly end before, now a reset (ECONNRESET).

--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -129,10 +129,8 @@
     const closing = isDraining() ? { Connection: 'close' } : {};
     response.writeHead(status, { ...headersByName(headers), ...extra, ...closing });
   };
-  let isFramed = true;
   const dropFraming = (head: AnswerHeadLine): void => {
-    isFramed = head.isFramed;
-    if (!isFramed) {
+    if (!head.isFramed) {
       response.shouldKeepAlive = false;
       response.removeHeader('Content-Length');
       response.removeHeader('Transfer-Encoding');
@@ -140,7 +138,7 @@
   };
   const breakOff = (): void => {
     const { socket } = response;
-    if (isFramed || socket === null) {
+    if (response.chunkedEncoding || socket === null) {
       response.destroy();
       return;
     }
--- a/packages/forwarding/test/unframed-answer.test.ts
+++ b/packages/forwarding/test/unframed-answer.test.ts
@@ -1,5 +1,7 @@
 /** Answers that come with neither a length nor chunks and end with their connection. */
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { paths, startTestGateway } from './support/gateway.js';
 import {
@@ -112,3 +114,23 @@
     assert.equal(answer.body, whole);
   });
 });
+
+describe('a stream to a caller that speaks HTTP/1.0', () => {
+  it('is reset if it breaks off, since only the close of the connection ends it', async () => {
+    const server = await startScriptedServer((socket, request) => {
+      const cutOff = answerTo(request, event(1) + event(2)).slice(0, -event(2).length);
+      socket.write(cutOff, () => socket.resetAndDestroy());
+    });
+    const gateway = await startTestGateway([server.port]);
+    const caller = connect(gateway.port, '127.0.0.1');
+    open.push(gateway, server, { close: () => caller.destroy() });
+    const whenEnded = once(caller, 'end').then(
+      () => 'ended',
+      (error: unknown) => (error as NodeJS.ErrnoException).code,
+    );
+    const head = [`POST ${paths.stream} HTTP/1.0`, 'host: vanes.example', 'key: key-1', 'request-id: r1'];
+    caller.write([...head, 'content-length: 0', '', ''].join('\r\n'));
+    caller.resume();
+    assert.equal(await whenEnded, 'ECONNRESET');
+  });
+});
