LOST: a request behind another one on its connection is passed on when that one has ended

A caller that sends a second request before the answer to its first one got no answer to the second, which had reached a server: the answer to the first closed the connection, because the entry had begun to stop or because the answer had no length, and the rest was dropped.

Cause: requests of one connection were passed on at the same time, although only the last answer may close it.

Now a request waits until the earlier ones on its connection have ended, and during a stop only the answer to the last request that was read announces the close. The end of a connection ends all its requests; before, the one that was queued stayed in flight and was not cancelled. A request behind an answer without a length is not passed on.

--- a/packages/forwarding/src/caller-connections.ts
+++ b/packages/forwarding/src/caller-connections.ts
@@ -13,8 +13,14 @@
 export interface CallerConnections {
   /** Adds a connection that was accepted. */
   accepted(socket: Socket): void;
-  /** Records a request whose head has been read; it ends when its answer has been handed to the operating system. */
-  received(message: IncomingMessage, response: ServerResponse): void;
+  /**
+   * Records a request whose head has been read; it ends when its answer has been handed to the operating system.
+   *
+   * @returns resolves when the earlier requests on its connection have ended, or the connection has closed
+   */
+  received(message: IncomingMessage, response: ServerResponse): Promise<void>;
+  /** Returns whether a request is the last one that has been received on its connection. */
+  isLast(message: IncomingMessage): boolean;
   /** Returns the number of requests whose heads have been read and whose answers have not been sent completely. */
   requestCount(): number;
   /**
@@ -46,6 +52,8 @@
  */
 export function createCallerConnections(clock: Clock): CallerConnections {
   const uses = new Map<Socket, ConnectionUse>();
+  const ends = new WeakMap<Socket, Promise<void>>();
+  const last = new WeakMap<Socket, IncomingMessage>();
   let requests = 0;
   const update = (socket: Socket, change: (use: ConnectionUse) => ConnectionUse): void => {
     const use = uses.get(socket);
@@ -70,11 +78,21 @@
       const { socket } = message;
       requests += 1;
       update(socket, (use) => ({ ...use, requests: use.requests + 1 }));
-      response.once('close', () => {
+      const earlier = ends.get(socket) ?? Promise.resolve();
+      const ended = new Promise<void>((resolve) => {
+        // A response that waits for an earlier one is not told that its connection closes.
+        response.once('close', resolve);
+        socket.once('close', resolve);
+      });
+      ends.set(socket, ended);
+      last.set(socket, message);
+      void ended.then(() => {
         requests -= 1;
         update(socket, (use) => ({ requests: use.requests - 1, bytesReadAtEnd: socket.bytesRead }));
       });
+      return earlier;
     },
+    isLast: (message) => last.get(message.socket) === message,
     requestCount: () => requests,
     busyCount: () => [...uses].filter(([socket, use]) => !isIdle(socket, use)).length,
     expired: async (socket) => {
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -94,17 +94,27 @@
     });
   }
 
-  async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const answer = createCallerAnswer(response, this.#context.isDraining);
+  async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+    whenFirst: Promise<void>,
+    isLast: () => boolean,
+  ): Promise<void> {
+    const answer = createCallerAnswer(response, () => this.#context.isDraining() && isLast());
     try {
-      await this.#read(message, response, answer);
+      await this.#read(message, response, answer, whenFirst);
     } catch (error) {
       // The process of the request has not been started, so the request has not run.
       this.#failInternally('', -1, answer, Outcome.NotRun, error);
     }
   }
 
-  async #read(message: IncomingMessage, response: ServerResponse, answer: CallerAnswer): Promise<void> {
+  async #read(
+    message: IncomingMessage,
+    response: ServerResponse,
+    answer: CallerAnswer,
+    whenFirst: Promise<void>,
+  ): Promise<void> {
     const receivedAtMs = this.#context.clock.now();
     const head = this.#context.dialect.readCaller(message.headers);
     response.on('error', () => undefined);
@@ -116,9 +126,10 @@
       response.once('finish', () => message.destroy());
       return;
     }
+    await whenFirst;
     await this.#context.waitForConfiguration(CONFIGURATION_WAIT_MS);
     const inputDelayMs = await readPendingInput(this.#context.clock);
-    if (message.socket.readableEnded || response.destroyed) {
+    if (message.socket.readableEnded || message.socket.destroyed || response.destroyed) {
       this.#reject(head, answer, EndReason.CallerGone);
       return;
     }
@@ -268,8 +279,8 @@
       noDelay: true,
     },
     (message, response) => {
-      connections.received(message, response);
-      void reader.handle(message, response);
+      const whenFirst = connections.received(message, response);
+      void reader.handle(message, response, whenFirst, () => connections.isLast(message));
     },
   );
   // With this listener, Node leaves it to the listener to close the connection.
