LOST: an error of what follows a request does not take the place of its answer

A request in flight was answered 408 or 400 if what followed it on its connection stayed incomplete until the header timeout, which a configuration may just have shortened, or was no request. The 408 promised that it had not run, although a server had it.

Cause: without a listener for such errors, Node's server writes its own answer whenever the head of the one in progress has not been sent.

Now the connection is closed after the answers to its requests; without any request in flight the answer is as before.

--- a/packages/forwarding/src/caller-connections.ts
+++ b/packages/forwarding/src/caller-connections.ts
@@ -19,6 +19,8 @@
    * @returns resolves when the earlier requests on its connection have ended, or the connection has closed
    */
   received(message: IncomingMessage, response: ServerResponse): Promise<void>;
+  /** Closes a connection when the requests on it are answered. Returns false if there are none. */
+  closeAfterAnswers(socket: Socket): boolean;
   /** Returns whether a request is the last one that has been received on its connection. */
   isLast(message: IncomingMessage): boolean;
   /** Returns the number of requests whose heads have been read and whose answers have not been sent completely. */
@@ -92,6 +94,13 @@
       });
       return earlier;
     },
+    closeAfterAnswers: (socket) => {
+      if ((uses.get(socket)?.requests ?? 0) === 0) {
+        return false;
+      }
+      void ends.get(socket)?.then(() => socket.destroy());
+      return true;
+    },
     isLast: (message) => last.get(message.socket) === message,
     requestCount: () => requests,
     busyCount: () => [...uses].filter(([socket, use]) => !isIdle(socket, use)).length,
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -253,6 +253,18 @@
   }
 }
 
+/** Returns the status line of the answer to input that is no valid request, as Node's own server determines it. */
+function statusOfClientError({ code }: NodeJS.ErrnoException): string {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return '431 Request Header Fields Too Large';
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return '408 Request Timeout';
+    default:
+      return '400 Bad Request';
+  }
+}
+
 function listen(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -287,6 +299,16 @@
   server.on('timeout', (socket: Socket) => {
     void connections.expired(socket);
   });
+  // Without this listener, Node puts its error in the place of the answer to a request in flight.
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (!connections.closeAfterAnswers(socket)) {
+      const status = statusOfClientError(error);
+      if (socket.writable) {
+        socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+      }
+      socket.destroy(error);
+    }
+  });
   server.on('connection', connections.accepted.bind(connections));
   return {
     listen: (host, port) => listen(server, host, port),
