--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -142,9 +142,10 @@
       this.#reject(head, answer, EndReason.BadRequest);
       return;
     }
+    const host = message.headers.host ?? '';
     const admission = admitRequest(
       this.#context.registry().catalogue,
-      message.headers.host ?? '',
+      host,
       path.split('?')[0] ?? '/',
       head,
       this.#context.random.fraction(),
@@ -163,6 +164,7 @@
       ...admission,
       head,
       method: message.method ?? 'GET',
+      host,
       path,
       headers: endToEndHeaders(message.rawHeaders, message.headers),
       body,
--- a/packages/forwarding/src/caller-request.ts
+++ b/packages/forwarding/src/caller-request.ts
@@ -1,5 +1,6 @@
 /** A caller's request after admission, when its route, account and body are known. */
 import { type Job } from '@toucanbend/placement';
+import { digestRequest } from '@toucanbend/quarantine';
 import { AnswerForm, type Route, type Service } from '@toucanbend/registry';
 import { type CallerHead, type RawHeaders } from './dialect.js';
 
@@ -7,6 +8,8 @@
 export interface CallerRequest {
   readonly head: CallerHead;
   readonly method: string;
+  /** Value of the `Host` header. */
+  readonly host: string;
   /** Path and query as the caller sent them. */
   readonly path: string;
   readonly headers: RawHeaders;
@@ -58,3 +61,15 @@
     deadlineAtMs,
   };
 }
+
+/**
+ * Computes the digest of a request, which is the same each time that its caller sends it.
+ *
+ * @param request - the request
+ * @returns the digest
+ */
+export function digestOf({ head, account, method, host, path, body }: CallerRequest): string {
+  // Without a body, a prompt is what the headers state of it.
+  const content = body.length > 0 ? body : Buffer.from(JSON.stringify(head.prompt ?? null));
+  return digestRequest({ account, method, host, path, body: content });
+}
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -14,7 +14,7 @@
 } from './caller-answer.js';
 import { type FallbackAnswer } from './answer-relay.js';
 import { type AnswerTiming, emptyTiming, extendTiming } from './log-fields.js';
-import { type CallerRequest } from './caller-request.js';
+import { type CallerRequest, digestOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type Expiry, expiryOf, LEAVING_RETRY_MS } from './drain-limit.js';
 import { type ForwardMessage, ForwardMessageType } from './forward-message.js';
@@ -323,6 +323,7 @@
       failure: fault.failure,
       detail: fault.detail,
       attempt: number,
+      digest: digestOf(this.#request),
       events: relay.eventCount,
       lastEventId: this.#lastEventId ?? -1,
     });
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -2,3 +2,4 @@
 export * from './crash-evidence.js';
 export * from './quarantine.js';
 export * from './quarantine-update.js';
+export * from './request-digest.js';
