--- a/fakes/relay.ts
+++ b/fakes/relay.ts
@@ -1,5 +1,5 @@
 /** Fake network between processes: TCP relays that delay, cut, or silently drop connections. */
-import { connect, createServer, type Socket } from 'node:net';
+import { connect, createServer, type Server, type Socket } from 'node:net';
 import { sendJson, serve } from './http.js';
 
 /** Faults that can be injected into a route. */
@@ -14,6 +14,8 @@
   Blackhole = 'blackhole',
   /** Open connections are destroyed, and new ones are destroyed on accept. */
   Cut = 'cut',
+  /** Open connections are reset, and new ones are refused. */
+  Refuse = 'refuse',
 }
 
 /** A route from a port of the relay to another port. */
@@ -40,6 +42,8 @@
   delayMs: number;
   readonly forgotten: Set<Socket>;
   readonly open: Set<Socket>;
+  /** Accepts connections; closed while they are refused. */
+  readonly server: Server;
 }
 
 /** Delays chunks and writes them in order of arrival, as TCP does. */
@@ -104,13 +108,24 @@
   close(): void;
 }
 
+function listen({ server, route }: RouteState): void {
+  server.listen(route.port, '127.0.0.1');
+}
+
 function applyCommand(state: RouteState, command: RelayCommand): void {
+  const wasRefusing = state.fault === RelayFault.Refuse;
   state.fault = command.fault === RelayFault.Forget ? RelayFault.None : (command.fault ?? state.fault);
   state.delayMs = command.delayMs ?? state.delayMs;
   if (command.fault === RelayFault.Forget) {
     state.open.forEach((socket) => state.forgotten.add(socket));
   } else if (command.fault === RelayFault.Cut) {
     state.open.forEach((socket) => socket.destroy());
+  } else if (command.fault === RelayFault.Refuse) {
+    state.server.close();
+    state.open.forEach((socket) => socket.resetAndDestroy());
+  }
+  if (wasRefusing && state.fault !== RelayFault.Refuse) {
+    listen(state);
   }
 }
 
@@ -121,18 +136,20 @@
  * @returns a handle that changes or closes the running relays
  */
 export function startRelays(routes: readonly RelayRoute[]): Relays {
-  const states = routes.map((route) => ({
-    route,
-    fault: RelayFault.None,
-    delayMs: route.delayMs ?? 0,
-    forgotten: new Set<Socket>(),
-    open: new Set<Socket>(),
-  }));
-  const servers = states.map((state) =>
-    createServer({ noDelay: true }, (socket) => {
-      accept(state, socket);
-    }).listen(state.route.port, '127.0.0.1'),
-  );
+  const states = routes.map((route) => {
+    const state: RouteState = {
+      route,
+      fault: RelayFault.None,
+      delayMs: route.delayMs ?? 0,
+      forgotten: new Set<Socket>(),
+      open: new Set<Socket>(),
+      server: createServer({ noDelay: true }, (socket) => {
+        accept(state, socket);
+      }),
+    };
+    return state;
+  });
+  states.forEach(listen);
   return {
     order: (order) => {
       states
@@ -142,8 +159,8 @@
         });
     },
     close: () => {
-      servers.forEach((server) => server.close());
       states.forEach((state) => {
+        state.server.close();
         state.open.forEach((socket) => socket.destroy());
       });
     },
