--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -22,6 +22,7 @@
   AnswerForm,
   type Catalogue,
   emptyRegistry,
+  listServers,
   mergeRecords,
   RecordKind,
   type Registry,
@@ -165,6 +166,8 @@
   stopAccepting(): void;
   /** Puts a catalogue into the registry. */
   setCatalogue(value: Catalogue): void;
+  /** Replaces the record of the server on a port by that of its next run. */
+  restartServer(port: number): void;
   close(): void;
 }
 
@@ -227,6 +230,7 @@
   } = options;
   const decisions: DecisionLine[] = [];
   const updates: LoadUpdate[] = [];
+  let revision = 1;
   let isLeaving = false;
   let requestsUntilMs = Number.POSITIVE_INFINITY;
   let takesRequests = true;
@@ -307,6 +311,15 @@
       registry = mergeRecords(registry, [record], {});
       resolveCatalogue();
     },
+    restartServer: (port) => {
+      revision += 1;
+      const position = { era: 1, revision };
+      const ended = listServers(registry).find((server) => server.port === port);
+      const next = serverRecord(`s${String(port)}-${String(revision)}`, port);
+      const removed =
+        ended === undefined ? [] : [{ kind: RecordKind.Server as const, id: ended.id, position }];
+      registry = mergeRecords(registry, [...removed, { ...next, position }], {});
+    },
     startDraining: (answersUntilMs) => {
       isLeaving = true;
       if (answersUntilMs !== undefined) {
