--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -36,6 +36,8 @@
 /** Retry delay given to the caller after attempts that did not run, in milliseconds. */
 const RETRY_AFTER_FAILURE_MS = 250;
 
+const callerGone: RequestEnd = { outcome: Outcome.Unknown, reason: EndReason.CallerGone, retryAfterMs: 0 };
+
 class RequestForwarder {
   readonly #context: ForwardingContext;
   readonly #request: CallerRequest;
@@ -82,8 +84,9 @@
       }
       const quarantined = this.#quarantine.find();
       if (quarantined !== undefined) {
-        this.#log(LogDecision.Route, { decided: DecisionKind.Reject, ...quarantined });
-        return this.#endWithoutAnswer({ reason: EndReason.Quarantined, retryAfterMs: quarantined.leftMs });
+        const { leftMs } = quarantined;
+        this.#log(LogDecision.Route, { decided: DecisionKind.Reject, ...quarantined.cause, leftMs });
+        return this.#endWithoutAnswer({ reason: EndReason.Quarantined, retryAfterMs: leftMs });
       }
       const mayWait = !this.#context.isDraining() && this.#attempts.count() === 0;
       const decision = this.#placement.plan(this.#excludedServers(), mayWait);
@@ -100,7 +103,7 @@
       } else {
         const isGone = yield* waitForChange(this.#context, this.#inbox, decision.waitMs);
         if (isGone) {
-          return this.#end(outcomeOf(this.#attempts.history()), EndReason.CallerGone, 0);
+          return { ...callerGone, outcome: outcomeOf(this.#attempts.history()) };
         }
         continue;
       }
@@ -168,6 +171,7 @@
       answer: this.#answer,
       lastEventId: this.#lastEventId,
       timeLeftMs: this.#timeLeftMs(),
+      watch: this.#quarantine.watch(server.id),
       report: (event) => {
         this.#inbox.send({ type: ForwardMessageType.Attempt, attempt: number, event });
       },
@@ -223,7 +227,7 @@
       }
       const message = received.value;
       if (message.type === ForwardMessageType.CallerGone) {
-        return this.#end(Outcome.Unknown, EndReason.CallerGone, 0);
+        return callerGone;
       }
       if (message.type === ForwardMessageType.Quarantined) {
         if (!this.#attempts.hasEvents() && this.#quarantine.find() !== undefined) {
@@ -259,7 +263,7 @@
     this.#lastEventId = relay.lastEventId ?? this.#lastEventId;
     if (relay.eventCount > eventsBefore) {
       this.#recordEvent(attempt, eventsBefore === 0);
-      this.#quarantine.recordEvents(eventsBefore, relay.eventCount);
+      attempt.watch.progressed(relay.eventCount);
     }
     if (relay.deliveredCount > deliveredBefore) {
       this.#attempts.keepOnly(attempt);
@@ -270,11 +274,10 @@
     this.#fallback = relay.fallback ?? this.#fallback;
     if (result.failure !== undefined) {
       this.#fail(attempt, result);
+      attempt.watch.ended();
       return undefined;
     }
-    if (relay.isSuccess) {
-      this.#quarantine.recordAnswer();
-    }
+    attempt.watch.answered(relay.isSuccess);
     this.#context.loadTracker.succeeded(server.id);
     return result.end;
   }
@@ -313,7 +316,9 @@
     const { server, helpers, relay, number } = attempt;
     this.#attempts.countFailure(attempt, fault.failure);
     this.#context.metrics.countFailure(fault.failure);
-    this.#quarantine.recordFailure(server, fault, relay.eventCount);
+    if (fault.isConnectionLost === true) {
+      attempt.watch.lost(relay.eventCount);
+    }
     const failed = recordFailedServer(this.#context, server, helpers, fault);
     this.#triedServers.delete(server.id);
     this.#triedServers.add(failed.id);
@@ -419,18 +424,14 @@
   #endWithoutAnswer({ reason, retryAfterMs }: EndCause): RequestEnd {
     if (this.#fallback !== undefined && !this.#answer.hasBegun()) {
       this.#answer.send(this.#fallback.start, this.#fallback.body);
-      return this.#end(Outcome.Complete, EndReason.Answered, 0);
+      return { outcome: Outcome.Complete, reason: EndReason.Answered, retryAfterMs: 0 };
     }
     const outcome = this.#answer.hasBegun() ? Outcome.Unknown : outcomeOf(this.#attempts.history());
-    const end = this.#end(outcome, reason, outcome === Outcome.NotRun ? retryAfterMs : 0);
+    const end = { outcome, reason, retryAfterMs: outcome === Outcome.NotRun ? retryAfterMs : 0 };
     this.#answer.fail(end);
     return end;
   }
 
-  #end(outcome: Outcome, reason: EndReason, retryAfterMs: number): RequestEnd {
-    return { outcome, reason, retryAfterMs };
-  }
-
   #log(decision: LogDecision, fields: Record<string, string | number | readonly string[]>): void {
     this.#context.logger.decision({ decision, request: this.#request.head.requestId, fields });
   }
--- a/packages/forwarding/src/request-quarantine.ts
+++ b/packages/forwarding/src/request-quarantine.ts
@@ -1,67 +1,107 @@
-/** The quarantine as one request uses it: whether its prompt is quarantined, and what its attempts show. */
-import { type Quarantine } from '@toucanbend/quarantine';
-import { type BackendServer } from '@toucanbend/registry';
-import { type AttemptFault } from './attempt.js';
-import { type CallerRequest } from './caller-request.js';
+/** The quarantine as one request uses it: whether the request is quarantined, and what its attempts show. */
+import { causesOf, type FoundCause, type RequestSuspects } from '@toucanbend/quarantine';
+import { type CrashCause, CrashCauseKind } from '@toucanbend/registry';
+import { type CallerRequest, digestOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 
-/** The quarantine as one request uses it. */
-export interface RequestQuarantine {
-  /** Returns the first quarantined part of the prompt; undefined if there is none. */
-  find(): ReturnType<Quarantine['find']>;
+/** Records what an attempt shows about its request and its server. */
+export interface AttemptWatch {
+  /**
+   * Records that a part of the answer has arrived.
+   *
+   * @param events - number of events of the attempt so far
+   */
+  progressed(events: number): void;
+  /** Records that an answer is complete; only a successful one shows that the server has survived the request. */
+  answered(isSuccess: boolean): void;
   /**
-   * Records a failed attempt.
+   * Records that the connection was lost after it was established.
    *
-   * @param server - the server that got the request
-   * @param fault - why the attempt failed
-   * @param events - number of events of the attempt
+   * @param events - number of events of the attempt until then
    */
-  recordFailure(server: BackendServer, fault: AttemptFault, events: number): void;
+  lost(events: number): void;
+  /** Records that the attempt has ended in a way that tells nothing about its server, or was not sent. */
+  ended(): void;
+}
+
+/** The quarantine as one request uses it. */
+export interface RequestQuarantine {
+  /** Returns the first quarantined cause of the request; undefined if there is none. */
+  find(): FoundCause | undefined;
   /**
-   * Records further events of an attempt.
+   * Watches an attempt that is sent now.
    *
-   * @param before - number of events of the attempt before
-   * @param events - number of events of the attempt now
+   * @param server - id of the run of the server
+   * @returns records what the attempt shows; an attempt of which nothing is recorded is lost if its server ends
    */
-  recordEvents(before: number, events: number): void;
-  /** Records that a successful answer is complete. */
-  recordAnswer(): void;
+  watch(server: string): AttemptWatch;
 }
 
 /** Number of events up to which an answer counts as just begun; a prompt that crashes its server gets no further. */
 const MAX_EVENTS_OF_BEGINNING = 1;
 
+/** Returns what in a request can crash a server. The digest is computed when it is needed first. */
+function suspectsOf(request: CallerRequest): RequestSuspects {
+  let digest: string | undefined;
+  return {
+    get digest() {
+      digest ??= digestOf(request);
+      return digest;
+    },
+    parts: request.head.prompt?.sharedParts ?? [],
+  };
+}
+
 /**
  * Creates the quarantine of one request.
  *
  * @param context - the quarantine of the entry and the clock
  * @param request - the request
- * @returns the quarantine; it does nothing for a request whose prompt has no part that other prompts may have
+ * @returns the quarantine
  */
 export function createRequestQuarantine(
   { quarantine, clock }: Pick<ForwardingContext, 'quarantine' | 'clock'>,
   request: CallerRequest,
 ): RequestQuarantine {
-  const parts = request.head.prompt?.sharedParts ?? [];
+  const suspects = suspectsOf(request);
   const service = request.service.name;
-  const recordServed = (): void => {
-    if (parts.length > 0) {
-      quarantine.served(service, parts);
-    }
-  };
+  const isPart = ({ kind }: CrashCause): boolean => kind === CrashCauseKind.PromptPart;
   return {
-    find: () => quarantine.find(service, parts),
-    recordFailure: (server, fault, events) => {
-      if (fault.isConnectionLost === true && events <= MAX_EVENTS_OF_BEGINNING) {
-        const { requestId } = request.head;
-        quarantine.lost({ service, server: server.id, request: requestId, parts, atMs: clock.now() });
-      }
-    },
-    recordEvents: (before, events) => {
-      if (before <= MAX_EVENTS_OF_BEGINNING && events > MAX_EVENTS_OF_BEGINNING) {
-        recordServed();
-      }
+    find: () => quarantine.find(service, suspects),
+    watch: (server) => {
+      const { digest, parts } = suspects;
+      const attempt = {
+        service,
+        server,
+        request: request.head.requestId,
+        digest,
+        parts,
+        sentAtMs: clock.now(),
+      };
+      let hasOnlyBegun = true;
+      quarantine.sent(attempt);
+      return {
+        progressed: (events) => {
+          quarantine.progressed(attempt);
+          if (hasOnlyBegun && events > MAX_EVENTS_OF_BEGINNING) {
+            hasOnlyBegun = false;
+            quarantine.served(service, causesOf(attempt).filter(isPart));
+          }
+        },
+        answered: (isSuccess) => {
+          quarantine.progressed(attempt);
+          quarantine.ended(attempt);
+          if (isSuccess) {
+            quarantine.served(service, causesOf(attempt));
+          }
+        },
+        lost: (events) => {
+          quarantine.lost(attempt, events <= MAX_EVENTS_OF_BEGINNING);
+        },
+        ended: () => {
+          quarantine.ended(attempt);
+        },
+      };
     },
-    recordAnswer: recordServed,
   };
 }
--- a/packages/forwarding/src/running-attempt.ts
+++ b/packages/forwarding/src/running-attempt.ts
@@ -9,6 +9,7 @@
 import { dispatchAttempt } from './dispatch.js';
 import { ReleaseCause } from './part-reservation.js';
 import { recordEndedShares } from './placed-shares.js';
+import { type AttemptWatch } from './request-quarantine.js';
 import { type Reservation } from './reservation.js';
 
 /** A running attempt. */
@@ -19,6 +20,8 @@
   /** Servers that prefill the other parts of the prompt. */
   readonly helpers: readonly Helper[];
   readonly relay: AnswerRelay;
+  /** Records what the attempt shows about its request and its server. */
+  readonly watch: AttemptWatch;
   /** Predicted time from the dispatch to the first event, in milliseconds. */
   readonly expectedMs: number;
   /** When the request was sent, in milliseconds. */
@@ -40,7 +43,7 @@
 /** The parameters of an attempt. */
 export interface RunningAttemptOptions extends Pick<
   RunningAttempt,
-  'number' | 'server' | 'helpers' | 'expectedMs'
+  'number' | 'server' | 'helpers' | 'expectedMs' | 'watch'
 > {
   /** Shares of the request, which are recorded in the load tracker. */
   readonly shares: readonly JobShare[];
@@ -75,7 +78,7 @@
   request: CallerRequest,
   options: RunningAttemptOptions,
 ): RunningAttempt {
-  const { number, server, helpers, expectedMs, shares, reservation, lastEventId, timeLeftMs, report } =
+  const { number, server, helpers, expectedMs, watch, shares, reservation, lastEventId, timeLeftMs, report } =
     options;
   const { clock } = context;
   const dispatchedAtMs = clock.now();
@@ -96,6 +99,7 @@
         report,
       });
     } catch (error) {
+      watch.ended();
       free();
       throw error;
     }
@@ -106,6 +110,7 @@
     server,
     helpers,
     relay: createRelay(context, request, options),
+    watch,
     expectedMs,
     dispatchedAtMs,
     isMemoryIdle: false,
@@ -119,6 +124,9 @@
     end: () => {
       if (!isEnded) {
         isEnded = true;
+        if (!attempt.isSent()) {
+          watch.ended();
+        }
         attempt.cancel();
         free();
       }
--- a/packages/forwarding/test/quarantine.test.ts
+++ b/packages/forwarding/test/quarantine.test.ts
@@ -82,7 +82,9 @@
     call: (parts) => {
       calls += 1;
       const headers = { parts, 'prompt-tokens': '2000', 'request-id': `r${String(calls)}` };
-      return callAs({ port: gateway.port, path: paths.stream, headers }).result;
+      // No two requests are alike.
+      const body = `prompt ${String(calls)}`;
+      return callAs({ port: gateway.port, path: paths.stream, headers, body }).result;
     },
   };
 }
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -319,6 +319,9 @@
       const removed =
         ended === undefined ? [] : [{ kind: RecordKind.Server as const, id: ended.id, position }];
       registry = mergeRecords(registry, [...removed, { ...next, position }], {});
+      if (ended !== undefined) {
+        quarantine.serverEnded(ended.id);
+      }
     },
     startDraining: (answersUntilMs) => {
       isLeaving = true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,13 +32,13 @@
   type EntryMember,
   listEntries,
   listServers,
-  type QuarantinedPart,
+  type QuarantinedCause,
   RecordKind,
   type RegistrySource,
 } from '@toucanbend/registry';
 import { createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
 import { Registry as MetricsRegistry } from 'prom-client';
-import { logRegistryChanges, readyServers, describeRegistry } from './registry-report.js';
+import { describeRegistry, logRegistryChanges, readyServers, serversRemoved } from './registry-report.js';
 import { answersUntil, drainRequests } from './drain.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
 import { type ListenAddress } from './listen-address.js';
@@ -122,11 +122,11 @@
     holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
   const storeHealth = createStoreHealth(clock, logger);
   const isStoreReader = (): boolean => isReader(member.name, peers.peersReachingStore());
-  const withdraw = (quarantined: QuarantinedPart): void => {
+  const withdraw = (quarantined: QuarantinedCause): void => {
     if (isStoreReader()) {
       void source.endQuarantine(quarantined).then((removed) => {
         removed.mapErr(({ message }) => {
-          logger.warn('quarantined part not removed from the store', { ...quarantined, error: message });
+          logger.warn('quarantined cause not removed from the store', { ...quarantined, error: message });
         });
       });
     }
@@ -144,7 +144,7 @@
       return written.match(
         () => true,
         ({ message }) => {
-          logger.warn('quarantined part not written to the store', { ...quarantined, error: message });
+          logger.warn('quarantined cause not written to the store', { ...quarantined, error: message });
           return false;
         },
       );
@@ -227,6 +227,7 @@
   const port = createCallerPort(context);
   holder.onChange((after, before) => {
     logRegistryChanges(logger, after, before);
+    serversRemoved(after, before).forEach(quarantine.serverEnded.bind(quarantine));
     applyQuarantineRecords(quarantine, after, before);
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
       port.applyLimits(after.catalogue);
--- a/packages/gateway/src/registry-report.ts
+++ b/packages/gateway/src/registry-report.ts
@@ -61,6 +61,20 @@
   return listServers(registry).filter((server) => server.state === ServerState.Ready);
 }
 
+/**
+ * Lists the servers whose records were removed by a change.
+ *
+ * @param after - the registry after the change
+ * @param before - the registry before it
+ * @returns the ids of the servers
+ */
+export function serversRemoved(after: Registry, before: Registry): string[] {
+  const remaining = new Set(listServers(after).map(({ id }) => id));
+  return listServers(before)
+    .map(({ id }) => id)
+    .filter((id) => !remaining.has(id));
+}
+
 /**
  * Describes the registry for the operators' status page.
  *
--- a/packages/membership/src/peer-updates.ts
+++ b/packages/membership/src/peer-updates.ts
@@ -6,7 +6,7 @@
   type QuarantineUpdate,
   QuarantineUpdateKind,
 } from '@toucanbend/quarantine';
-import { type QuarantinedPart } from '@toucanbend/registry';
+import { type QuarantinedCause } from '@toucanbend/registry';
 import {
   decodeRestrictionUpdate,
   encodeRestrictionUpdate,
@@ -55,7 +55,7 @@
  * @returns the encoded updates
  */
 export function encodeState(
-  quarantinedParts: readonly QuarantinedPart[],
+  quarantinedParts: readonly QuarantinedCause[],
   restrictions: readonly RestrictionUpdate[],
   nowMs: number,
 ): unknown[] {
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -16,7 +16,7 @@
   listEntries,
   newestPositions,
   type Positions,
-  type QuarantinedPart,
+  type QuarantinedCause,
   RecordKind,
   recordsSince,
 } from '@toucanbend/registry';
@@ -75,7 +75,7 @@
   /** Whether the store is reachable from this entry. */
   readonly isStoreReachable: () => boolean;
   /** Returns the quarantined parts in force, which are sent to each entry that is linked. */
-  readonly quarantinedParts: () => readonly QuarantinedPart[];
+  readonly quarantinedParts: () => readonly QuarantinedCause[];
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
   readonly restrictions: () => readonly RestrictionUpdate[];
   /** Called when the process of an entry has ended, or a new process has taken its place. */
--- a/packages/membership/test/odd-updates.test.ts
+++ b/packages/membership/test/odd-updates.test.ts
@@ -22,6 +22,7 @@
   encodeRestrictionUpdate,
   RestrictionUpdateKind,
 } from '@toucanbend/restrictions';
+import { CrashCauseKind } from '@toucanbend/registry';
 import fc from 'fast-check';
 import { smallEngine as engine } from '../../../fakes/engine-parameters.js';
 
@@ -130,18 +131,29 @@
   });
 
   it('neither end nor outlast the evidence of crashes', () => {
-    const lost = { service: 'model', server: 's1', request: 'r1', parts: ['p1'], atMs: NOW_MS };
+    const suspects = { digest: 'd1', parts: ['p1'] };
+    const lost = {
+      service: 'model',
+      server: 's1',
+      request: 'r1',
+      ...suspects,
+      sentAtMs: NOW_MS,
+      atMs: NOW_MS,
+    };
+    const cause = { kind: CrashCauseKind.PromptPart, id: 'p1' };
     const served = {
       kind: QuarantineUpdateKind.Served as const,
       service: 'model',
-      parts: ['p1'],
+      causes: [cause],
       atMs: NOW_MS,
     };
-    const quarantined = { service: 'model', part: 'p1', untilMs: NOW_MS + 600_000 };
+    const survived = { kind: QuarantineUpdateKind.Survived as const, server: 's1', sentAtMs: NOW_MS };
+    const quarantined = { service: 'model', ...cause, untilMs: NOW_MS + 600_000 };
     const updates = [
       encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Lost, attempt: lost }, NOW_MS),
       encodeQuarantineUpdate(served, NOW_MS),
       encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, NOW_MS),
+      encodeQuarantineUpdate(survived, NOW_MS),
     ];
     fc.assert(
       fc.property(oddUpdates(...updates), (change) => {
@@ -152,8 +164,11 @@
         if (update.kind === QuarantineUpdateKind.Quarantined) {
           assert.ok(Math.abs(update.quarantined.untilMs) <= Number.MAX_SAFE_INTEGER);
         } else {
-          const { atMs } = update.kind === QuarantineUpdateKind.Lost ? update.attempt : update;
-          assert.ok(atMs <= NOW_MS, `event at ${String(atMs)} ms`);
+          const event = update.kind === QuarantineUpdateKind.Lost ? update.attempt : update;
+          const times = [event].flatMap(({ atMs, sentAtMs }: { atMs?: number; sentAtMs?: number }) =>
+            [atMs, sentAtMs].filter((time) => time !== undefined),
+          );
+          assert.ok(times.length > 0 && Math.max(...times) <= NOW_MS, `events at ${times.join(', ')} ms`);
         }
         const quarantine = createQuarantine({
           clock: createManualClock(NOW_MS),
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -7,9 +7,10 @@
 import { type Logger } from '@toucanbend/observability';
 import { type QuarantineUpdate, QuarantineUpdateKind } from '@toucanbend/quarantine';
 import {
+  CrashCauseKind,
   type EntryMember,
   listServers,
-  type QuarantinedPart,
+  type QuarantinedCause,
   RecordKind,
   type RegistryRecord,
   ServerState,
@@ -59,7 +60,7 @@
   readonly incarnation: string;
   readonly seeds: readonly string[];
   readonly isStoreReachable: boolean;
-  readonly quarantined?: readonly QuarantinedPart[];
+  readonly quarantined?: readonly QuarantinedCause[];
   readonly restrictions?: readonly RestrictionUpdate[];
 }
 
@@ -213,7 +214,12 @@
       address,
       dataCentre: 'bagmati-a',
     });
-    const part: QuarantinedPart = { service: 'vanes', part: 'poison', untilMs: 600_000 };
+    const part: QuarantinedCause = {
+      service: 'vanes',
+      kind: CrashCauseKind.PromptPart,
+      id: 'poison',
+      untilMs: 600_000,
+    };
     const common = { incarnation: 'i1', isStoreReachable: false };
     const started = { member: member('later', second), seeds: [], ...common };
     const later = await startEntry(started);
--- a/packages/quarantine/src/crash-evidence.ts
+++ b/packages/quarantine/src/crash-evidence.ts
@@ -1,50 +1,63 @@
 /**
- * Decides which part of the prompts crashes backend servers, from the attempts that crashes interrupted and the answers
- * that were served.
+ * Decides what in requests crashes backend servers, from the attempts that crashes interrupted and the answers that were
+ * served.
  *
- * Load pattern: requests that share one part of their prompts arrive at all entries. Each crashes the server that begins
- * its answer, and the crash interrupts sound requests as well, some of which share other parts. Servers also crash for
- * other reasons.
+ * Load patterns: requests that share one part of their prompts arrive at all entries, no two alike, or one request arrives
+ * again and again. Each crashes the server that begins to run it, and the crash interrupts sound requests as well, some of
+ * which share other parts, or are sent often themselves. Servers also crash for other reasons.
  */
+import { type CrashCause, CrashCauseKind } from '@toucanbend/registry';
+import { createBoundedMap } from './bounded-map.js';
 
-/** An attempt whose connection was lost while its answer began, as it happens to a request that crashes its server. */
-export interface LostAttempt {
-  readonly service: string;
-  /** Id of the run of the server. */
-  readonly server: string;
-  readonly request: string;
+/** What in a request can crash a server. */
+export interface RequestSuspects {
+  /** Digest of the request, the same each time that its caller sends it. */
+  readonly digest: string;
   /** Parts of the prompt that other prompts may have too, in order. */
   readonly parts: readonly string[];
-  readonly atMs: number;
 }
 
-interface Loss {
+/** An attempt whose server was lost before it had answered, as it happens to a request that crashes its server. */
+export interface LostAttempt extends RequestSuspects {
+  readonly service: string;
+  /** Id of the run of the server. */
   readonly server: string;
+  /** Id of the caller's attempt, for the log. */
   readonly request: string;
+  /** When the attempt was sent, in milliseconds. */
+  readonly sentAtMs: number;
+  /** When the server was lost, in milliseconds. */
   readonly atMs: number;
-  /** Index of the part in the prompt. */
-  readonly position: number;
 }
 
-interface PartEvidence {
-  readonly service: string;
-  readonly part: string;
-  /** Losses since the part was last served, oldest first. */
+type Loss = Pick<LostAttempt, 'service' | 'server' | 'request' | 'digest' | 'sentAtMs' | 'atMs'> & {
+  /** Index of the part in the prompt; 0 for a whole request. */
+  readonly position: number;
+};
+
+interface Evidence {
+  readonly cause: CrashCause;
+  /** Losses since the cause was last served, oldest first. */
   losses: readonly Loss[];
-  servedAtMs: number | undefined;
 }
 
-/** The number of separate crashes and of requests that identify a part. */
+/** The number of separate crashes and of different requests that identify a cause. */
 interface Threshold {
   readonly crashes: number;
   readonly requests: number;
 }
 
-/** For parts that no answer is known to have been served with: a retried request alone does not suffice. */
-const UNSERVED_THRESHOLD: Threshold = { crashes: 3, requests: 2 };
-/** For parts that were served before, which are likely to be sound. */
-const SERVED_THRESHOLD: Threshold = { crashes: 8, requests: 5 };
-/** For parts that were quarantined before, at this or another service. */
+/** For causes that no answer is known to have been served with: of a part, one request that is retried does not suffice. */
+const UNSERVED_THRESHOLDS: Readonly<Record<CrashCauseKind, Threshold>> = {
+  [CrashCauseKind.PromptPart]: { crashes: 3, requests: 2 },
+  [CrashCauseKind.Request]: { crashes: 3, requests: 1 },
+};
+/** For causes that were served before, which are likely to be sound. */
+const SERVED_THRESHOLDS: Readonly<Record<CrashCauseKind, Threshold>> = {
+  [CrashCauseKind.PromptPart]: { crashes: 8, requests: 5 },
+  [CrashCauseKind.Request]: { crashes: 5, requests: 1 },
+};
+/** For causes that were quarantined before, at this or another service. */
 const KNOWN_THRESHOLD: Threshold = { crashes: 1, requests: 1 };
 /** Crashes within this time count as one, in milliseconds: servers that fail together have a common cause of their own. */
 const SIMULTANEOUS_MS = 100;
@@ -52,179 +65,259 @@
 const SAME_CRASH_MS = 2_000;
 /** Time after which evidence is dropped, in milliseconds. */
 const EVIDENCE_LIFETIME_MS = 600_000;
-/** Limits of the number of parts and of losses for each part, which bound the memory of this record. */
-const MAX_PARTS = 4_096;
+/** Limits of the numbers of causes, of losses for each, and of servers, which bound the memory of this record. */
+const MAX_CAUSES = 4_096;
 const MAX_LOSSES = 64;
+const MAX_SERVERS = 1_024;
 
-/** A part that has crashed servers, and the evidence against it. */
+/** A cause that has crashed servers, and the evidence against it. */
 export interface Culprit {
   readonly service: string;
-  readonly part: string;
+  readonly cause: CrashCause;
   readonly crashes: number;
   readonly requests: number;
-  /** Whether answers to prompts with the part were served earlier. */
+  /** Whether answers to requests with the cause were served earlier. */
   readonly wasServed: boolean;
+  /** The last crashes, each as the id of the server and that of the interrupted attempt. */
+  readonly evidence: readonly string[];
 }
 
 /** The record of interrupted attempts and served answers. */
 export interface CrashEvidence {
-  /** Records an interrupted attempt. */
-  lost(attempt: LostAttempt): void;
-  /** Records that servers have written answers to prompts with these parts, and that they survived it. */
-  served(service: string, parts: readonly string[], atMs: number): void;
-  /** Returns when a part was last served; undefined if that is not known. */
-  servedAtMs(service: string, part: string): number | undefined;
-  /** Returns whether attempts with a part were lost since it was last served. */
-  isSuspected(service: string, part: string): boolean;
   /**
-   * Selects a part that has crashed servers.
+   * Records an interrupted attempt.
+   *
+   * @returns whether the evidence now suffices for one of its causes
+   */
+  lost(attempt: LostAttempt): boolean;
+  /** Records that servers have answered requests with a cause, and that they survived it. */
+  served(service: string, cause: CrashCause, atMs: number): void;
+  /**
+   * Records that a server has answered an attempt, so that it did not crash before it got it.
    *
-   * @returns the part, or undefined if the evidence suffices for none
+   * @returns whether attempts had been lost there before
+   */
+  survived(server: string, sentAtMs: number): boolean;
+  /** Returns when a cause was last served; undefined if that is not known. */
+  servedAtMs(service: string, cause: CrashCause): number | undefined;
+  /** Returns whether attempts with a cause were lost since it was last served. */
+  isSuspected(service: string, cause: CrashCause): boolean;
+  /**
+   * Selects a cause that has crashed servers.
+   *
+   * @returns the cause, or undefined if the evidence suffices for none
    */
   findCulprit(): Culprit | undefined;
   /**
-   * Records that a part crashes servers. The crashes that it explains no longer count against other parts; later evidence
-   * against the part itself suffices sooner.
+   * Records that a cause crashes servers. The crashes that it explains no longer count against other causes; later
+   * evidence against the cause itself suffices sooner.
    */
-  explain(service: string, part: string): void;
+  explain(service: string, cause: CrashCause): void;
   /** Drops old evidence. */
   prune(nowMs: number): void;
 }
 
-const keyOf = (service: string, part: string): string => `${service}/${part}`;
+const keyOf = ({ kind, id }: CrashCause): string => `${kind}/${id}`;
+const servedKeyOf = (service: string, cause: CrashCause): string => `${service}/${keyOf(cause)}`;
+
+/**
+ * Returns the key of the evidence against a cause. That against a request is pooled over the services, among which a route
+ * may divide the copies of one request.
+ */
+function evidenceKeyOf(service: string, cause: CrashCause): string {
+  return cause.kind === CrashCauseKind.Request ? keyOf(cause) : servedKeyOf(service, cause);
+}
 
-/** Counts the crashes that are apart in time and concern different servers. */
-function countCrashes(losses: readonly Loss[]): number {
+/**
+ * Returns what in a request can crash a server.
+ *
+ * @param suspects - the digest of the request, and the parts of its prompt
+ * @returns the request itself, and the parts
+ */
+export function causesOf({ digest, parts }: RequestSuspects): CrashCause[] {
+  return [
+    { kind: CrashCauseKind.Request, id: digest },
+    ...parts.map((part) => ({ kind: CrashCauseKind.PromptPart, id: part })),
+  ];
+}
+
+/**
+ * Selects the losses that stand for separate crashes: of different servers, and apart in time or one after the other,
+ * which an attempt shows that was sent after the crash before.
+ */
+function separateCrashes(losses: readonly Loss[]): Loss[] {
   const servers = new Set<string>();
-  let crashes = 0;
+  const crashes: Loss[] = [];
   let lastAtMs = Number.NEGATIVE_INFINITY;
-  for (const { server, atMs } of losses) {
-    if (!servers.has(server) && atMs - lastAtMs >= SIMULTANEOUS_MS) {
-      crashes += 1;
-      lastAtMs = atMs;
+  for (const loss of losses) {
+    const isSeparate = loss.atMs - lastAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastAtMs;
+    if (!servers.has(loss.server) && isSeparate) {
+      crashes.push(loss);
+      lastAtMs = loss.atMs;
     }
-    servers.add(server);
+    servers.add(loss.server);
   }
   return crashes;
 }
 
 function countRequests(losses: readonly Loss[]): number {
-  return new Set(losses.map(({ request }) => request)).size;
+  return new Set(losses.map(({ digest }) => digest)).size;
 }
 
-function meetsThreshold({ losses }: PartEvidence, threshold: Threshold): boolean {
+function meetsThreshold(losses: readonly Loss[], threshold: Threshold): boolean {
   return (
     losses.length >= threshold.crashes &&
     countRequests(losses) >= threshold.requests &&
-    countCrashes(losses) >= threshold.crashes
+    separateCrashes(losses).length >= threshold.crashes
   );
 }
 
-/**
- * Orders identified parts: first those that were never served, then those that come last in their prompts, since the first
- * parts are shared by more prompts, sound ones among them.
- */
-function compareCulprits(left: PartEvidence, right: PartEvidence): number {
-  const served = Number(left.servedAtMs !== undefined) - Number(right.servedAtMs !== undefined);
-  const position = (right.losses[0]?.position ?? 0) - (left.losses[0]?.position ?? 0);
-  return served !== 0 ? served : position;
-}
-
 /**
  * Creates an empty record.
  *
  * @returns the record
  */
 export function createCrashEvidence(): CrashEvidence {
-  const byPart = new Map<string, PartEvidence>();
-  /** Times of the crashes that a quarantined part explains, by server. */
-  const explained = new Map<string, number>();
-  /** Parts that were quarantined. */
-  const known = new Set<string>();
-
-  const evidenceOf = (service: string, part: string): PartEvidence => {
-    const key = keyOf(service, part);
-    const evidence = byPart.get(key) ?? { service, part, losses: [], servedAtMs: undefined };
-    // Insertion order is the order of use, so that the part that was not seen for longest is dropped first.
-    byPart.delete(key);
-    byPart.set(key, evidence);
-    const [oldest] = byPart.keys();
-    if (byPart.size > MAX_PARTS && oldest !== undefined) {
-      byPart.delete(oldest);
-    }
-    return evidence;
+  const byCause = createBoundedMap<string, Evidence>(MAX_CAUSES);
+  /** When causes were last served. Requests are many, and do not displace parts. */
+  const served: Readonly<Record<CrashCauseKind, ReturnType<typeof createBoundedMap<string, number>>>> = {
+    [CrashCauseKind.PromptPart]: createBoundedMap(MAX_CAUSES),
+    [CrashCauseKind.Request]: createBoundedMap(MAX_CAUSES),
   };
+  /** Times of the crashes that a quarantined cause explains, by server. */
+  const explained = createBoundedMap<string, number>(MAX_SERVERS);
+  /** Times of the last losses, by server. */
+  const lostAtMs = createBoundedMap<string, number>(MAX_SERVERS);
+  /** Causes that were quarantined. */
+  const known = createBoundedMap<string, true>(MAX_CAUSES);
+
+  const servedAtMs = (service: string, cause: CrashCause): number | undefined =>
+    served[cause.kind].get(servedKeyOf(service, cause));
+
+  const wasServed = ({ cause, losses }: Evidence): boolean =>
+    losses.some(({ service }) => servedAtMs(service, cause) !== undefined);
 
   const isExplained = ({ server, atMs }: Pick<Loss, 'server' | 'atMs'>): boolean =>
     Math.abs((explained.get(server) ?? Number.NEGATIVE_INFINITY) - atMs) < SAME_CRASH_MS;
 
-  const explainCrashes = (evidence: PartEvidence): void => {
-    evidence.losses.forEach(({ server, atMs }) => explained.set(server, atMs));
-    for (const other of byPart.values()) {
-      if (!known.has(other.part)) {
-        other.losses = other.losses.filter((loss) => !isExplained(loss));
-      }
-    }
-    evidence.losses = [];
+  const isIdentified = (evidence: Evidence): boolean => {
+    const { cause, losses } = evidence;
+    const unknown = wasServed(evidence) ? SERVED_THRESHOLDS : UNSERVED_THRESHOLDS;
+    return meetsThreshold(losses, known.has(keyOf(cause)) ? KNOWN_THRESHOLD : unknown[cause.kind]);
+  };
+
+  /**
+   * Orders identified causes: first those that were never served, then whole requests, which concern one caller only, then
+   * the parts that come last in their prompts, since the first parts are shared by more prompts, sound ones among them.
+   */
+  const compareCulprits = (left: Evidence, right: Evidence): number => {
+    const servedOrder = Number(wasServed(left)) - Number(wasServed(right));
+    const kindOrder =
+      Number(right.cause.kind === CrashCauseKind.Request) -
+      Number(left.cause.kind === CrashCauseKind.Request);
+    const crashOrder = separateCrashes(right.losses).length - separateCrashes(left.losses).length;
+    const position = (right.losses[0]?.position ?? 0) - (left.losses[0]?.position ?? 0);
+    return servedOrder || kindOrder || position || crashOrder;
   };
 
-  const isIdentified = (evidence: PartEvidence): boolean => {
-    const unknownThreshold = evidence.servedAtMs === undefined ? UNSERVED_THRESHOLD : SERVED_THRESHOLD;
-    return meetsThreshold(evidence, known.has(evidence.part) ? KNOWN_THRESHOLD : unknownThreshold);
+  /** Drops the losses that a cause explains; a request that crashes servers speaks against its parts once. */
+  const explainLosses = (losses: readonly Loss[], cause: CrashCause): readonly Loss[] => {
+    const ownDigest = cause.kind === CrashCauseKind.Request ? cause.id : undefined;
+    const newestOwn = losses.findLast(({ digest }) => digest === ownDigest);
+    return losses.filter((loss) => loss === newestOwn || (loss.digest !== ownDigest && !isExplained(loss)));
   };
 
   return {
-    lost: ({ service, server, request, parts, atMs }) => {
-      const knownParts = parts.filter((part) => known.has(part));
-      const suspects = knownParts.length > 0 ? knownParts : parts;
-      if (knownParts.length === 0 && isExplained({ server, atMs })) {
-        return;
+    lost: (attempt) => {
+      const { service, server, request, digest, parts, sentAtMs, atMs } = attempt;
+      lostAtMs.set(server, Math.max(atMs, lostAtMs.get(server) ?? atMs));
+      const causes = causesOf(attempt);
+      const knownCauses = causes.filter((cause) => known.has(keyOf(cause)));
+      if (knownCauses.length > 0) {
+        explained.set(server, atMs);
+      } else if (isExplained({ server, atMs })) {
+        return false;
       }
-      suspects.forEach((part) => {
-        const evidence = evidenceOf(service, part);
-        const position = parts.indexOf(part);
-        evidence.losses = [...evidence.losses, { server, request, atMs, position }].slice(-MAX_LOSSES);
-        if (known.has(part)) {
-          explained.set(server, atMs);
-        }
+      const suspected = (knownCauses.length > 0 ? knownCauses : causes).map((cause): Evidence => {
+        const key = evidenceKeyOf(service, cause);
+        const position = Math.max(0, parts.indexOf(cause.id));
+        const loss = { service, server, request, digest, sentAtMs, atMs, position };
+        const losses = [...(byCause.get(key)?.losses ?? []), loss];
+        losses.sort((left, right) => left.atMs - right.atMs);
+        const evidence = { cause, losses: losses.slice(-MAX_LOSSES) };
+        byCause.set(key, evidence);
+        return evidence;
       });
+      return suspected.some(isIdentified);
     },
-    served: (service, parts, atMs) => {
-      parts.forEach((part) => {
-        const evidence = evidenceOf(service, part);
-        known.delete(part);
-        evidence.servedAtMs = Math.max(atMs, evidence.servedAtMs ?? atMs);
-        evidence.losses = evidence.losses.filter((loss) => loss.atMs > atMs);
-      });
+    served: (service, cause, atMs) => {
+      known.delete(keyOf(cause));
+      served[cause.kind].set(servedKeyOf(service, cause), Math.max(atMs, servedAtMs(service, cause) ?? atMs));
+      const evidence = byCause.get(evidenceKeyOf(service, cause));
+      if (evidence !== undefined) {
+        evidence.losses = evidence.losses.filter((loss) => loss.service !== service || loss.atMs > atMs);
+      }
     },
-    servedAtMs: (service, part) => byPart.get(keyOf(service, part))?.servedAtMs,
-    isSuspected: (service, part) => (byPart.get(keyOf(service, part))?.losses.length ?? 0) > 0,
+    survived: (server, sentAtMs) => {
+      if ((lostAtMs.get(server) ?? Number.POSITIVE_INFINITY) >= sentAtMs) {
+        return false;
+      }
+      lostAtMs.delete(server);
+      for (const evidence of byCause.values()) {
+        evidence.losses = evidence.losses.filter((loss) => loss.server !== server || loss.atMs >= sentAtMs);
+      }
+      return true;
+    },
+    servedAtMs,
+    isSuspected: (service, cause) =>
+      byCause.get(evidenceKeyOf(service, cause))?.losses.some((loss) => loss.service === service) === true,
     findCulprit: () => {
-      const [culprit] = [...byPart.values()].filter(isIdentified).sort(compareCulprits);
-      return culprit === undefined
-        ? undefined
-        : {
-            service: culprit.service,
-            part: culprit.part,
-            crashes: countCrashes(culprit.losses),
-            requests: countRequests(culprit.losses),
-            wasServed: culprit.servedAtMs !== undefined,
-          };
+      const [culprit] = [...byCause.values()].filter(isIdentified).sort(compareCulprits);
+      const newest = culprit?.losses.at(-1);
+      if (culprit === undefined || newest === undefined) {
+        return undefined;
+      }
+      const crashes = separateCrashes(culprit.losses);
+      return {
+        service: newest.service,
+        cause: culprit.cause,
+        crashes: crashes.length,
+        requests: countRequests(culprit.losses),
+        wasServed: wasServed(culprit),
+        evidence: crashes.map(({ server, request }) => `${server} ${request}`),
+      };
     },
-    explain: (service, part) => {
-      known.add(part);
-      explainCrashes(evidenceOf(service, part));
+    explain: (service, cause) => {
+      known.set(keyOf(cause), true);
+      const evidence = byCause.get(evidenceKeyOf(service, cause));
+      const own = evidence?.losses.filter((loss) => loss.service === service) ?? [];
+      own.forEach(({ server, atMs }) => {
+        explained.set(server, atMs);
+      });
+      if (evidence !== undefined) {
+        evidence.losses = evidence.losses.filter((loss) => loss.service !== service);
+      }
+      for (const other of byCause.values()) {
+        if (!known.has(keyOf(other.cause))) {
+          other.losses = explainLosses(other.losses, cause);
+        }
+      }
     },
     prune: (nowMs) => {
-      for (const [key, evidence] of byPart) {
+      for (const [key, evidence] of byCause.entries()) {
         evidence.losses = evidence.losses.filter(({ atMs }) => nowMs - atMs < EVIDENCE_LIFETIME_MS);
-        const isServedLately =
-          nowMs - (evidence.servedAtMs ?? Number.NEGATIVE_INFINITY) < EVIDENCE_LIFETIME_MS;
-        if (!isServedLately && evidence.losses.length === 0) {
-          byPart.delete(key);
+        if (evidence.losses.length === 0) {
+          byCause.delete(key);
+        }
+      }
+      for (const times of Object.values(served)) {
+        for (const [key, atMs] of times.entries()) {
+          if (nowMs - atMs >= EVIDENCE_LIFETIME_MS) {
+            times.delete(key);
+          }
         }
       }
-      for (const [server, atMs] of explained) {
+      for (const [server, atMs] of explained.entries()) {
         if (nowMs - atMs >= SAME_CRASH_MS) {
           explained.delete(server);
         }
--- a/packages/quarantine/src/quarantine-update.ts
+++ b/packages/quarantine/src/quarantine-update.ts
@@ -1,16 +1,18 @@
-/** Updates about crashes and quarantined parts that entries send one another, and their encoding as flat arrays. */
+/** Updates about crashes and quarantined causes that entries send one another, and their encoding as flat arrays. */
 import { clamp, MAX_RELATIVE_MS } from '@toucanbend/core';
-import { type QuarantinedPart } from '@toucanbend/registry';
+import { type CrashCause, CrashCauseKind, type QuarantinedCause } from '@toucanbend/registry';
 import { z } from 'zod';
 import { type LostAttempt } from './crash-evidence.js';
 
 /** The kinds of updates; their values differ from those of load updates, which travel in the same frames. */
 export enum QuarantineUpdateKind {
-  /** An attempt was interrupted while its answer began. */
+  /** The server of an attempt was lost before it had answered. */
   Lost = 10,
-  /** Servers have survived answers to prompts with these parts. */
+  /** Servers have survived answers to requests with these causes. */
   Served = 11,
   Quarantined = 12,
+  /** A server has answered an attempt that was sent after another one was lost there. */
+  Survived = 13,
 }
 
 /** An update; its encoded times are relative to the time of encoding, except the end of a quarantine. */
@@ -19,32 +21,45 @@
   | {
       readonly kind: QuarantineUpdateKind.Served;
       readonly service: string;
-      readonly parts: readonly string[];
+      readonly causes: readonly CrashCause[];
       readonly atMs: number;
     }
-  | { readonly kind: QuarantineUpdateKind.Quarantined; readonly quarantined: QuarantinedPart };
+  | { readonly kind: QuarantineUpdateKind.Quarantined; readonly quarantined: QuarantinedCause }
+  | { readonly kind: QuarantineUpdateKind.Survived; readonly server: string; readonly sentAtMs: number };
 
-const MAX_PART_LENGTH = 256;
+/** Longest id of a part or digest of a request that is read, in characters. */
+const MAX_ID_LENGTH = 256;
+/** Limit on the parts of one request. */
 const MAX_PARTS = 64;
 /** Time since the event, in milliseconds. */
 const ago = z.number();
-const partsSchema = z.array(z.string().max(MAX_PART_LENGTH)).max(MAX_PARTS);
+const idSchema = z.string().max(MAX_ID_LENGTH);
+const causeSchema = z.tuple([z.enum(CrashCauseKind), idSchema]);
 const lostSchema = z.tuple([
   z.literal(QuarantineUpdateKind.Lost),
   z.string(),
   z.string(),
   z.string(),
-  partsSchema,
+  idSchema,
+  z.array(idSchema).max(MAX_PARTS),
+  ago,
+  ago,
+]);
+const servedSchema = z.tuple([
+  z.literal(QuarantineUpdateKind.Served),
+  z.string(),
+  z.array(causeSchema).max(MAX_PARTS + 1),
   ago,
 ]);
-const servedSchema = z.tuple([z.literal(QuarantineUpdateKind.Served), z.string(), partsSchema, ago]);
 const quarantinedSchema = z.tuple([
   z.literal(QuarantineUpdateKind.Quarantined),
   z.string(),
-  z.string().max(MAX_PART_LENGTH),
+  z.enum(CrashCauseKind),
+  idSchema,
   z.number().nonnegative().max(Number.MAX_SAFE_INTEGER),
 ]);
-const updateSchema = z.union([lostSchema, servedSchema, quarantinedSchema]);
+const survivedSchema = z.tuple([z.literal(QuarantineUpdateKind.Survived), z.string(), ago]);
+const updateSchema = z.union([lostSchema, servedSchema, quarantinedSchema, survivedSchema]);
 
 /**
  * Encodes an update as a flat array.
@@ -56,15 +71,20 @@
 export function encodeQuarantineUpdate(update: QuarantineUpdate, nowMs: number): unknown[] {
   switch (update.kind) {
     case QuarantineUpdateKind.Lost: {
-      const { service, server, request, parts, atMs } = update.attempt;
-      return [update.kind, service, server, request, parts.slice(0, MAX_PARTS), Math.round(nowMs - atMs)];
+      const { service, server, request, digest, parts, sentAtMs, atMs } = update.attempt;
+      const [sentAgoMs, agoMs] = [Math.round(nowMs - sentAtMs), Math.round(nowMs - atMs)];
+      return [update.kind, service, server, request, digest, parts.slice(0, MAX_PARTS), sentAgoMs, agoMs];
+    }
+    case QuarantineUpdateKind.Served: {
+      const causes = update.causes.slice(0, MAX_PARTS + 1).map(({ kind, id }) => [kind, id]);
+      return [update.kind, update.service, causes, Math.round(nowMs - update.atMs)];
     }
-    case QuarantineUpdateKind.Served:
-      return [update.kind, update.service, update.parts.slice(0, MAX_PARTS), Math.round(nowMs - update.atMs)];
     case QuarantineUpdateKind.Quarantined: {
-      const { service, part, untilMs } = update.quarantined;
-      return [update.kind, service, part, untilMs];
+      const { service, kind, id, untilMs } = update.quarantined;
+      return [update.kind, service, kind, id, untilMs];
     }
+    case QuarantineUpdateKind.Survived:
+      return [update.kind, update.server, Math.round(nowMs - update.sentAtMs)];
   }
 }
 
@@ -80,22 +100,26 @@
   if (!parsed.success) {
     return undefined;
   }
+  const timeOf = (agoMs: number): number => nowMs - clamp(agoMs, 0, MAX_RELATIVE_MS);
   const fields = parsed.data;
   switch (fields[0]) {
     case QuarantineUpdateKind.Lost: {
-      const [kind, service, server, request, parts, agoMs] = fields;
-      return {
-        kind,
-        attempt: { service, server, request, parts, atMs: nowMs - clamp(agoMs, 0, MAX_RELATIVE_MS) },
-      };
+      const [kind, service, server, request, digest, parts, sentAgoMs, agoMs] = fields;
+      const [sentAtMs, atMs] = [timeOf(sentAgoMs), timeOf(agoMs)];
+      return { kind, attempt: { service, server, request, digest, parts, sentAtMs, atMs } };
     }
     case QuarantineUpdateKind.Served: {
-      const [kind, service, parts, agoMs] = fields;
-      return { kind, service, parts, atMs: nowMs - clamp(agoMs, 0, MAX_RELATIVE_MS) };
+      const [kind, service, pairs, agoMs] = fields;
+      const causes = pairs.map(([causeKind, id]): CrashCause => ({ kind: causeKind, id }));
+      return { kind, service, causes, atMs: timeOf(agoMs) };
     }
     case QuarantineUpdateKind.Quarantined: {
-      const [kind, service, part, untilMs] = fields;
-      return { kind, quarantined: { service, part, untilMs } };
+      const [kind, service, causeKind, id, untilMs] = fields;
+      return { kind, quarantined: { service, kind: causeKind, id, untilMs } };
+    }
+    case QuarantineUpdateKind.Survived: {
+      const [kind, server, agoMs] = fields;
+      return { kind, server, sentAtMs: timeOf(agoMs) };
     }
   }
 }
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,9 +1,11 @@
-/** The quarantine of an entry: collects evidence of all entries, decides on parts and keeps the list of those in force. */
+/** The quarantine of an entry: collects evidence of all entries, decides on causes and keeps the list of those in force. */
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
-import { type QuarantinedPart, quarantineIdOf } from '@toucanbend/registry';
-import { createCrashEvidence, type LostAttempt } from './crash-evidence.js';
+import { type CrashCause, type QuarantinedCause, quarantineIdOf } from '@toucanbend/registry';
+import { causesOf, createCrashEvidence, type LostAttempt, type RequestSuspects } from './crash-evidence.js';
 import { type QuarantineUpdate, QuarantineUpdateKind } from './quarantine-update.js';
+import { createRateLimit } from './rate-limit.js';
+import { createUnansweredAttempts, type SentAttempt } from './unanswered-attempts.js';
 
 /** Dependencies and callbacks of a quarantine. */
 export interface QuarantineOptions {
@@ -14,125 +16,173 @@
   readonly logger: Logger;
   /** Sends an update to the other entries. */
   readonly broadcast: (update: QuarantineUpdate) => void;
-  /** Writes a part to the store; resolves to whether the store has it. */
-  readonly publish: (quarantined: QuarantinedPart) => Promise<boolean>;
-  /** Removes a part from the store. */
-  readonly withdraw: (quarantined: QuarantinedPart) => void;
+  /** Writes a cause to the store; resolves to whether the store has it. */
+  readonly publish: (quarantined: QuarantinedCause) => Promise<boolean>;
+  /** Removes a cause from the store. */
+  readonly withdraw: (quarantined: QuarantinedCause) => void;
 }
 
-/** The quarantined parts, and the evidence against others. */
+/** A quarantined cause of a request. */
+export interface FoundCause {
+  readonly cause: CrashCause;
+  /** Time until the quarantine ends, in milliseconds. */
+  readonly leftMs: number;
+}
+
+/** The quarantined causes, and the evidence against others. */
 export interface Quarantine {
-  /** Returns the first quarantined part of a prompt, and the time until its quarantine ends, in milliseconds. */
-  find(
-    service: string,
-    parts: readonly string[],
-  ): { readonly part: string; readonly leftMs: number } | undefined;
-  /** Records an attempt of this entry that was interrupted while its answer began. */
-  lost(attempt: LostAttempt): void;
-  /** Records that a server has written an answer of this entry well beyond its beginning. */
-  served(service: string, parts: readonly string[]): void;
+  /** Returns the first quarantined cause of a request; undefined if there is none. */
+  find(service: string, suspects: RequestSuspects): FoundCause | undefined;
+  /** Records that an attempt of this entry was sent. */
+  sent(attempt: SentAttempt): void;
+  /** Records that a part of the answer to an attempt of this entry has arrived. */
+  progressed(attempt: SentAttempt): void;
+  /** Records that an attempt of this entry has ended in a way that tells nothing about its server. */
+  ended(attempt: SentAttempt): void;
+  /**
+   * Records an attempt of this entry that was interrupted.
+   *
+   * @param attempt - the attempt
+   * @param hasOnlyBegun - whether its answer had only begun, as happens if a part of the prompt crashes the server
+   */
+  lost(attempt: SentAttempt, hasOnlyBegun: boolean): void;
+  /** Records that a server has answered requests of this entry with these causes, and has survived it. */
+  served(service: string, causes: readonly CrashCause[]): void;
+  /** Records that a server is no longer registered, so that its attempts will not be answered. */
+  serverEnded(server: string): void;
   /** Handles an update of another entry. */
   receive(update: QuarantineUpdate): void;
-  /** Puts a part from the store in force. */
-  restore(quarantined: QuarantinedPart): void;
-  /** Ends the quarantine of a part that was removed from the store. */
-  release(quarantined: Pick<QuarantinedPart, 'service' | 'part'>): void;
-  /** Writes the parts in force to the store again, which may have lost them. */
+  /** Puts a cause from the store in force. */
+  restore(quarantined: QuarantinedCause): void;
+  /** Ends the quarantine of a cause that was removed from the store. */
+  release(quarantined: Omit<QuarantinedCause, 'untilMs'>): void;
+  /** Writes the causes in force to the store again, which may have lost them. */
   republish(): void;
-  /** Returns the parts in force. */
-  list(): QuarantinedPart[];
+  /** Returns the causes in force. */
+  list(): QuarantinedCause[];
   /**
-   * Adds a listener for parts that are quarantined.
+   * Adds a listener for causes that are quarantined.
    *
    * @returns removes the listener
    */
-  onQuarantined(handle: (quarantined: QuarantinedPart) => void): () => void;
-  /** Ends expired quarantines, drops old evidence, and writes parts to the store that it does not have yet. */
+  onQuarantined(handle: (quarantined: QuarantinedCause) => void): () => void;
+  /** Ends expired quarantines, drops old evidence, and writes causes to the store that it does not have yet. */
   prune(): void;
 }
 
-/** How a part came to be quarantined. */
+/** How a cause came to be quarantined. */
 enum QuarantineSource {
   Evidence = 'evidence',
   Peer = 'peer',
   Store = 'store',
 }
 
-interface ActivePart {
-  readonly quarantined: QuarantinedPart;
+interface ActiveCause {
+  readonly quarantined: QuarantinedCause;
   readonly sinceMs: number;
 }
 
-/** Duration of a quarantine, in milliseconds. A part that still crashes servers afterwards is quarantined sooner. */
+/** Duration of a quarantine, in milliseconds. A cause that still crashes servers afterwards is quarantined sooner. */
 const QUARANTINE_MS = 600_000;
 /**
  * Delay and random part of the delay between sufficient evidence and the decision, in milliseconds. Other entries that
- * have served the part report it meanwhile, and the first entry that decides spares the others the write to the store.
+ * have served the cause report it meanwhile, and the first entry that decides spares the others the write to the store.
  */
 const DECISION_DELAY_MS = 400;
 const DECISION_JITTER_MS = 100;
-/** Minimum interval between reports of this entry that the same part was served, in milliseconds. */
+/** Minimum interval between reports of this entry that the same cause was served, in milliseconds. */
 const SERVED_REPORT_INTERVAL_MS = 500;
+/** Limit on the lost attempts that this entry reports to the others in a second, which bounds the messages of a large failure. */
+const MAX_LOSS_REPORTS_PER_SECOND = 100;
+/** Limit on the causes in force, which bounds the memory, the records in the store and what a new link is sent. */
+const MAX_ACTIVE = 1_000;
+/** Number of crashes that are logged as the evidence against a cause. */
+const MAX_LOGGED_CRASHES = 8;
 
 class EntryQuarantine implements Quarantine {
   readonly #options: QuarantineOptions;
   readonly #evidence = createCrashEvidence();
-  readonly #active = new Map<string, ActivePart>();
+  readonly #unanswered = createUnansweredAttempts();
+  readonly #lossReports;
+  readonly #active = new Map<string, ActiveCause>();
   readonly #unpublished = new Set<string>();
   readonly #reportedAtMs = new Map<string, number>();
-  readonly #listeners = new Set<(quarantined: QuarantinedPart) => void>();
+  readonly #listeners = new Set<(quarantined: QuarantinedCause) => void>();
   #isDecisionPending = false;
 
   constructor(options: QuarantineOptions) {
     this.#options = options;
+    this.#lossReports = createRateLimit(options.clock, MAX_LOSS_REPORTS_PER_SECOND);
   }
 
-  find(service: string, parts: readonly string[]): { part: string; leftMs: number } | undefined {
+  find(service: string, suspects: RequestSuspects): FoundCause | undefined {
     if (this.#active.size === 0) {
       return undefined;
     }
     const nowMs = this.#options.wallClock();
-    for (const part of parts) {
-      const leftMs = (this.#active.get(quarantineIdOf({ service, part }))?.quarantined.untilMs ?? 0) - nowMs;
+    for (const cause of causesOf(suspects)) {
+      const active = this.#active.get(quarantineIdOf({ service, ...cause }));
+      const leftMs = (active?.quarantined.untilMs ?? 0) - nowMs;
       if (leftMs > 0) {
-        return { part, leftMs };
+        return { cause, leftMs };
       }
     }
     return undefined;
   }
 
-  lost(attempt: LostAttempt): void {
-    if (attempt.parts.length > 0) {
-      const { request, server, parts } = attempt;
-      this.#options.logger.info('answer lost as it began', { request, server, parts });
-      this.#options.broadcast({ kind: QuarantineUpdateKind.Lost, attempt });
-      this.#recordLoss(attempt);
-    }
+  sent(attempt: SentAttempt): void {
+    this.#unanswered.add(attempt);
   }
 
-  served(service: string, parts: readonly string[]): void {
-    const suspected = parts.filter((part) => this.#evidence.isSuspected(service, part));
-    const quarantined = parts.filter((part) => this.#active.has(quarantineIdOf({ service, part })));
+  progressed(attempt: SentAttempt): void {
+    this.#unanswered.progressed(attempt, this.#options.clock.now());
+    this.#recordSurvival(attempt);
+  }
+
+  ended(attempt: SentAttempt): void {
+    this.#unanswered.remove(attempt);
+  }
+
+  lost(attempt: SentAttempt, hasOnlyBegun: boolean): void {
+    this.#unanswered.remove(attempt);
+    const parts = hasOnlyBegun ? attempt.parts : [];
+    this.#reportLoss({ ...attempt, parts, atMs: this.#options.clock.now() }, 'connection lost');
+  }
+
+  served(service: string, causes: readonly CrashCause[]): void {
+    const due = causes.filter(
+      (cause) =>
+        this.#evidence.isSuspected(service, cause) || this.#active.has(quarantineIdOf({ service, ...cause })),
+    );
     const nowMs = this.#options.clock.now();
-    this.#recordServed(service, parts, nowMs);
-    this.#reportServed(service, [...suspected, ...quarantined], nowMs);
+    this.#recordServed(service, causes, nowMs);
+    this.#reportServed(service, due, nowMs);
+  }
+
+  serverEnded(server: string): void {
+    for (const attempt of this.#unanswered.takeSilent(server, this.#options.clock.now())) {
+      this.#reportLoss(attempt, 'server ended');
+    }
   }
 
   receive(update: QuarantineUpdate): void {
     switch (update.kind) {
       case QuarantineUpdateKind.Lost: {
         this.#recordLoss(update.attempt);
-        const { service, parts } = update.attempt;
-        for (const part of parts) {
-          const servedAtMs = this.#evidence.servedAtMs(service, part);
+        const { service } = update.attempt;
+        for (const cause of causesOf(update.attempt)) {
+          const servedAtMs = this.#evidence.servedAtMs(service, cause);
           if (servedAtMs !== undefined) {
-            this.#reportServed(service, [part], servedAtMs);
+            this.#reportServed(service, [cause], servedAtMs);
           }
         }
         break;
       }
       case QuarantineUpdateKind.Served:
-        this.#recordServed(update.service, update.parts, update.atMs);
+        this.#recordServed(update.service, update.causes, update.atMs);
+        break;
+      case QuarantineUpdateKind.Survived:
+        this.#evidence.survived(update.server, update.sentAtMs);
         break;
       case QuarantineUpdateKind.Quarantined:
         this.#activate(update.quarantined, QuarantineSource.Peer);
@@ -140,13 +190,13 @@
     }
   }
 
-  restore(quarantined: QuarantinedPart): void {
+  restore(quarantined: QuarantinedCause): void {
     this.#unpublished.delete(quarantineIdOf(quarantined));
     this.#activate(quarantined, QuarantineSource.Store);
   }
 
-  release({ service, part }: Pick<QuarantinedPart, 'service' | 'part'>): void {
-    this.#end(quarantineIdOf({ service, part }), 'removed from the store');
+  release(quarantined: Omit<QuarantinedCause, 'untilMs'>): void {
+    this.#end(quarantineIdOf(quarantined), 'removed from the store');
   }
 
   republish(): void {
@@ -155,11 +205,11 @@
     }
   }
 
-  list(): QuarantinedPart[] {
+  list(): QuarantinedCause[] {
     return [...this.#active.values()].map(({ quarantined }) => quarantined);
   }
 
-  onQuarantined(handle: (quarantined: QuarantinedPart) => void): () => void {
+  onQuarantined(handle: (quarantined: QuarantinedCause) => void): () => void {
     this.#listeners.add(handle);
     return () => {
       this.#listeners.delete(handle);
@@ -169,6 +219,7 @@
   prune(): void {
     const { clock, wallClock, withdraw } = this.#options;
     this.#evidence.prune(clock.now());
+    this.#unanswered.prune(clock.now());
     for (const [key, atMs] of this.#reportedAtMs) {
       if (clock.now() - atMs > SERVED_REPORT_INTERVAL_MS) {
         this.#reportedAtMs.delete(key);
@@ -184,10 +235,22 @@
     }
   }
 
+  #reportLoss(attempt: LostAttempt, detail: string): void {
+    const { request, server, digest, parts, sentAtMs, atMs } = attempt;
+    const isReported = this.#lossReports.tryTake();
+    const runMs = Math.round(atMs - sentAtMs);
+    const fields = { request, server, digest, parts, runMs, detail, isReported: String(isReported) };
+    this.#options.logger.info('server lost before it had answered', fields);
+    if (isReported) {
+      this.#options.broadcast({ kind: QuarantineUpdateKind.Lost, attempt });
+    }
+    this.#recordLoss(attempt);
+  }
+
   #recordLoss(attempt: LostAttempt): void {
     const { clock, random } = this.#options;
-    this.#evidence.lost(attempt);
-    if (!this.#isDecisionPending && this.#evidence.findCulprit() !== undefined) {
+    const isIdentified = this.#evidence.lost(attempt);
+    if (isIdentified && !this.#isDecisionPending) {
       this.#isDecisionPending = true;
       clock.after(DECISION_DELAY_MS + DECISION_JITTER_MS * random.fraction(), () => {
         this.#isDecisionPending = false;
@@ -203,9 +266,11 @@
       found !== undefined;
       found = this.#evidence.findCulprit()
     ) {
-      const { service, part, ...evidence } = found;
-      const quarantined = { service, part, untilMs };
-      this.#options.logger.warn('part of prompts crashes servers', { service, part, ...evidence });
+      const { service, cause, crashes, requests, wasServed, evidence } = found;
+      const quarantined = { service, ...cause, untilMs };
+      const lastCrashes = evidence.slice(-MAX_LOGGED_CRASHES);
+      const fields = { service, ...cause, crashes, requests, wasServed, evidence: lastCrashes };
+      this.#options.logger.warn('requests crash servers', fields);
       this.#activate(quarantined, QuarantineSource.Evidence);
       this.#options.broadcast({ kind: QuarantineUpdateKind.Quarantined, quarantined });
       this.#unpublished.add(quarantineIdOf(quarantined));
@@ -213,32 +278,51 @@
     }
   }
 
-  async #publish(quarantined: QuarantinedPart): Promise<void> {
+  async #publish(quarantined: QuarantinedCause): Promise<void> {
     const id = quarantineIdOf(quarantined);
     if (await this.#options.publish(quarantined)) {
       this.#unpublished.delete(id);
     }
   }
 
-  #activate(quarantined: QuarantinedPart, source: QuarantineSource): void {
+  #activate(quarantined: QuarantinedCause, source: QuarantineSource): void {
     const { clock, wallClock, logger } = this.#options;
     const id = quarantineIdOf(quarantined);
-    this.#evidence.explain(quarantined.service, quarantined.part);
+    this.#evidence.explain(quarantined.service, quarantined);
     if (this.#active.has(id) || quarantined.untilMs <= wallClock()) {
       return;
     }
+    this.#makeRoom();
     this.#active.set(id, { quarantined, sinceMs: clock.now() });
-    logger.warn('part of prompts quarantined', { ...quarantined, source });
+    logger.warn('cause of crashes quarantined', { ...quarantined, source });
     this.#listeners.forEach((handle) => {
       handle(quarantined);
     });
   }
 
-  /** Records that parts were served; an answer that was served later than a part was quarantined ends its quarantine. */
-  #recordServed(service: string, parts: readonly string[], atMs: number): void {
-    this.#evidence.served(service, parts, atMs);
-    for (const part of parts) {
-      const id = quarantineIdOf({ service, part });
+  /** Ends the oldest quarantine if there are too many. */
+  #makeRoom(): void {
+    const [oldest] = this.#active.size < MAX_ACTIVE ? [] : this.#active;
+    if (oldest !== undefined) {
+      const [id, { quarantined }] = oldest;
+      this.#end(id, `more than ${String(MAX_ACTIVE)} in force`);
+      this.#options.withdraw(quarantined);
+    }
+  }
+
+  /** Records that a server has answered an attempt, and reports it if attempts were lost at that server before. */
+  #recordSurvival({ server, sentAtMs }: SentAttempt): void {
+    if (this.#evidence.survived(server, sentAtMs)) {
+      this.#options.logger.info('server answers after a lost connection', { server });
+      this.#options.broadcast({ kind: QuarantineUpdateKind.Survived, server, sentAtMs });
+    }
+  }
+
+  /** Records that causes were served; an answer that was served later than a cause was quarantined ends its quarantine. */
+  #recordServed(service: string, causes: readonly CrashCause[], atMs: number): void {
+    for (const cause of causes) {
+      this.#evidence.served(service, cause, atMs);
+      const id = quarantineIdOf({ service, ...cause });
       const active = this.#active.get(id);
       if (active !== undefined && atMs > active.sinceMs) {
         this.#end(id, 'served');
@@ -247,17 +331,17 @@
     }
   }
 
-  #reportServed(service: string, parts: readonly string[], atMs: number): void {
+  #reportServed(service: string, causes: readonly CrashCause[], atMs: number): void {
     const { clock, broadcast } = this.#options;
     const nowMs = clock.now();
-    const due = parts.filter((part) => {
+    const due = causes.filter((cause) => {
       const reportedAtMs =
-        this.#reportedAtMs.get(quarantineIdOf({ service, part })) ?? Number.NEGATIVE_INFINITY;
+        this.#reportedAtMs.get(quarantineIdOf({ service, ...cause })) ?? Number.NEGATIVE_INFINITY;
       return nowMs - reportedAtMs >= SERVED_REPORT_INTERVAL_MS;
     });
-    due.forEach((part) => this.#reportedAtMs.set(quarantineIdOf({ service, part }), nowMs));
+    due.forEach((cause) => this.#reportedAtMs.set(quarantineIdOf({ service, ...cause }), nowMs));
     if (due.length > 0) {
-      broadcast({ kind: QuarantineUpdateKind.Served, service, parts: due, atMs });
+      broadcast({ kind: QuarantineUpdateKind.Served, service, causes: due, atMs });
     }
   }
 
@@ -275,7 +359,7 @@
  * Creates the quarantine of an entry.
  *
  * @param options - dependencies and callbacks
- * @returns the quarantine, without any parts
+ * @returns the quarantine, without any causes
  */
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   return new EntryQuarantine(options);
--- a/packages/registry/src/decode-record.ts
+++ b/packages/registry/src/decode-record.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 import { AnswerForm, type Catalogue, RepeatPolicy } from './catalogue.js';
 import { type BackendServer, type EntryMember, ServerState } from './member.js';
-import { type QuarantinedPart } from './quarantined-part.js';
+import { CrashCauseKind, type QuarantinedCause } from './quarantined-cause.js';
 import { RecordKind, type RegistryRecord } from './registry-record.js';
 
 const MAX_PORT = 65_535;
@@ -76,9 +76,10 @@
   dataCentre: z.string(),
 });
 
-const quarantinedShape: z.ZodType<QuarantinedPart> = z.object({
+const quarantinedShape: z.ZodType<QuarantinedCause> = z.object({
   service: z.string(),
-  part: z.string(),
+  kind: z.enum(CrashCauseKind),
+  id: z.string(),
   untilMs: z.number(),
 });
 
--- a/packages/registry/src/registry-record.ts
+++ b/packages/registry/src/registry-record.ts
@@ -1,7 +1,7 @@
 /** The records of the store that every entry keeps a replica of. */
 import { type Catalogue } from './catalogue.js';
 import { type BackendServer, type EntryMember } from './member.js';
-import { type QuarantinedPart } from './quarantined-part.js';
+import { type QuarantinedCause } from './quarantined-cause.js';
 import { initialPosition, type StorePosition } from './store-position.js';
 
 /** Kinds of records. */
@@ -36,7 +36,7 @@
       readonly kind: RecordKind.Quarantine;
       readonly id: string;
       readonly position: StorePosition;
-      readonly value?: QuarantinedPart;
+      readonly value?: QuarantinedCause;
     };
 
 /** A position of the store for each kind of record. */
--- a/packages/registry/src/source.ts
+++ b/packages/registry/src/source.ts
@@ -1,7 +1,7 @@
 /** Interface of the store that the registry is read from. */
 import { type Result } from 'neverthrow';
 import { type EntryMember } from './member.js';
-import { type QuarantinedPart } from './quarantined-part.js';
+import { type QuarantinedCause } from './quarantined-cause.js';
 import { type RecordKind, type RegistryRecord } from './registry-record.js';
 import { type StorePosition } from './store-position.js';
 
@@ -60,9 +60,9 @@
   /** Removes a registration, unless the entry has been registered again since. */
   release(registration: Registration): Promise<Result<void, SourceError>>;
   /** Writes a quarantined part; succeeds also if the store has it already. */
-  quarantine(quarantined: QuarantinedPart): Promise<Result<void, SourceError>>;
+  quarantine(quarantined: QuarantinedCause): Promise<Result<void, SourceError>>;
   /** Removes a quarantined part. */
-  endQuarantine(quarantined: QuarantinedPart): Promise<Result<void, SourceError>>;
+  endQuarantine(quarantined: QuarantinedCause): Promise<Result<void, SourceError>>;
   /** Adds a listener that is called when the store has returned with an older copy, with its new era. */
   onRestored(handle: (era: number) => void): void;
 }
