--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -7,7 +7,7 @@
   readonly linkedEntries: () => number;
   readonly knownEntries: () => number;
   readonly readyServers: () => number;
-  readonly quarantinedParts: () => number;
+  readonly quarantinedCauses: () => number;
   readonly limitedServers: () => number;
   readonly leavingServers: () => number;
   /** Returns 0 before the first catalogue is received. */
@@ -28,9 +28,9 @@
   linkedEntries: ['toucanbend_linked_entries', 'Other entries with an open link.'],
   knownEntries: ['toucanbend_known_entries', 'Entries that are registered in the store, including this one.'],
   readyServers: ['toucanbend_ready_servers', 'Backend servers that are registered as ready for requests.'],
-  quarantinedParts: [
-    'toucanbend_quarantined_parts',
-    'Parts of prompts that are rejected because they crash backend servers.',
+  quarantinedCauses: [
+    'toucanbend_quarantined_causes',
+    'Parts of prompts and single requests that are rejected because they crash backend servers.',
   ],
   limitedServers: ['toucanbend_limited_servers', 'Backend servers that state a rate limit.'],
   leavingServers: ['toucanbend_leaving_servers', 'Backend servers that have answered that they leave.'],
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -180,7 +180,7 @@
       applyLoadUpdate(loadTracker, restrictions, from, update, engineOf, clock.now());
     },
     onQuarantineUpdate: quarantine.receive.bind(quarantine),
-    quarantinedParts: quarantine.list.bind(quarantine),
+    quarantinedCauses: quarantine.list.bind(quarantine),
     onRestrictionUpdate: restrictions.receive.bind(restrictions),
     restrictions: restrictions.list.bind(restrictions),
     onProcessEnded: (name) => {
@@ -267,7 +267,7 @@
     linkedEntries: peers.linkCount.bind(peers),
     knownEntries: () => listEntries(holder.current()).length,
     readyServers: () => readyServers(holder.current()).length,
-    quarantinedParts: () => quarantine.list().length,
+    quarantinedCauses: () => quarantine.list().length,
     limitedServers: restrictions.limitedCount.bind(restrictions),
     leavingServers: restrictions.leavingCount.bind(restrictions),
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
--- a/packages/membership/src/peer-updates.ts
+++ b/packages/membership/src/peer-updates.ts
@@ -49,18 +49,18 @@
 /**
  * Encodes what an entry that has just started, or was cut off, needs to know besides the registry.
  *
- * @param quarantinedParts - the quarantined parts in force
+ * @param quarantinedCauses - the quarantined causes in force
  * @param restrictions - what is known of the restrictions of servers
  * @param nowMs - the current time, in milliseconds, to which encoded times are relative
  * @returns the encoded updates
  */
 export function encodeState(
-  quarantinedParts: readonly QuarantinedCause[],
+  quarantinedCauses: readonly QuarantinedCause[],
   restrictions: readonly RestrictionUpdate[],
   nowMs: number,
 ): unknown[] {
   return [
-    ...quarantinedParts.map((quarantined) =>
+    ...quarantinedCauses.map((quarantined) =>
       encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, nowMs),
     ),
     ...restrictions.map((update) => encodeRestrictionUpdate(update, nowMs)),
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -43,7 +43,7 @@
   stop(): void;
   /** Sends a load update to all other entries; updates within a short window share a frame. */
   broadcast(update: LoadUpdate): void;
-  /** Sends an update about quarantined parts to all other entries, in the same frames. */
+  /** Sends an update about quarantined causes to all other entries, in the same frames. */
   broadcastQuarantine(update: QuarantineUpdate): void;
   /** Sends an update about restrictions of servers to all other entries, in the same frames. */
   broadcastRestriction(update: RestrictionUpdate): void;
@@ -74,8 +74,8 @@
   readonly logger: Logger;
   /** Whether the store is reachable from this entry. */
   readonly isStoreReachable: () => boolean;
-  /** Returns the quarantined parts in force, which are sent to each entry that is linked. */
-  readonly quarantinedParts: () => readonly QuarantinedCause[];
+  /** Returns the quarantined causes in force, which are sent to each entry that is linked. */
+  readonly quarantinedCauses: () => readonly QuarantinedCause[];
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
   readonly restrictions: () => readonly RestrictionUpdate[];
   /** Called when the process of an entry has ended, or a new process has taken its place. */
@@ -362,8 +362,8 @@
 
   /** Sends what an entry that has just started, or was cut off, needs to know besides the registry. */
   #sendState(link: Link): void {
-    const { clock, quarantinedParts, restrictions } = this.#options;
-    const changes = encodeState(quarantinedParts(), restrictions(), clock.now());
+    const { clock, quarantinedCauses, restrictions } = this.#options;
+    const changes = encodeState(quarantinedCauses(), restrictions(), clock.now());
     if (changes.length > 0) {
       link.send({ type: FrameType.LoadUpdates, changes });
     }
--- a/packages/membership/test/odd-frames.test.ts
+++ b/packages/membership/test/odd-frames.test.ts
@@ -64,7 +64,7 @@
     isStoreReachable: () => true,
     onLoadUpdate: ignore,
     onQuarantineUpdate: ignore,
-    quarantinedParts: () => [],
+    quarantinedCauses: () => [],
     onRestrictionUpdate: ignore,
     restrictions: () => [],
     onProcessEnded: ignore,
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -102,7 +102,7 @@
       quarantineUpdates.push(update);
       resolveUpdate();
     },
-    quarantinedParts: () => quarantined,
+    quarantinedCauses: () => quarantined,
     onRestrictionUpdate: (update) => {
       restrictionUpdates.push(update);
       resolveRestriction();
