BUDGET: servers that leave in order are not taken for crashed ones

The attempts of callers that had left stayed unanswered, and counted as lost when the store removed the record of a server that had announced that it leaves. Now only servers that were ready count. Found by a review; servers-removed.test red before.

--- a/packages/gateway/src/registry-report.ts
+++ b/packages/gateway/src/registry-report.ts
@@ -70,7 +70,7 @@
  */
 export function serversRemoved(after: Registry, before: Registry): string[] {
   const remaining = new Set(listServers(after).map(({ id }) => id));
-  return listServers(before)
+  return readyServers(before)
     .map(({ id }) => id)
     .filter((id) => !remaining.has(id));
 }
