--- a/packages/quarantine/src/crash-evidence.ts
+++ b/packages/quarantine/src/crash-evidence.ts
@@ -33,6 +33,8 @@
 type Loss = Pick<LostAttempt, 'service' | 'server' | 'request' | 'digest' | 'sentAtMs' | 'atMs'> & {
   /** Index of the part in the prompt; 0 for a whole request. */
   readonly position: number;
+  /** When this entry was told of the loss, in milliseconds; for a silent connection seconds after it. */
+  readonly noticedAtMs: number;
 };
 
 interface Evidence {
@@ -62,12 +64,16 @@
 /** Crashes within this time count as one, in milliseconds: servers that fail together have a common cause of their own. */
 const SIMULTANEOUS_MS = 100;
 /** Time within which a loss is due to the same crash of a server as another one, in milliseconds. */
-const SAME_CRASH_MS = 2_000;
+const SAME_CRASH_MS = 10_000;
+/** Time between the last sign of an attempt and the notice of its loss that shows a silent connection, in milliseconds. */
+const SILENT_MS = 400;
 /** Time after which evidence is dropped, in milliseconds. */
 const EVIDENCE_LIFETIME_MS = 600_000;
 /** Limits of the numbers of causes, of losses for each, and of servers, which bound the memory of this record. */
 const MAX_CAUSES = 4_096;
 const MAX_LOSSES = 64;
+/** Limit on the losses of one cause at one server, so that copies there do not displace those of earlier crashes. */
+const MAX_LOSSES_PER_SERVER = 4;
 const MAX_SERVERS = 1_024;
 
 /** A cause that has crashed servers, and the evidence against it. */
@@ -87,9 +93,11 @@
   /**
    * Records an interrupted attempt.
    *
+   * @param attempt - the attempt
+   * @param noticedAtMs - when this entry was told of the loss, in milliseconds; at once if absent
    * @returns whether the evidence now suffices for one of its causes
    */
-  lost(attempt: LostAttempt): boolean;
+  lost(attempt: LostAttempt, noticedAtMs?: number): boolean;
   /** Records that servers have answered requests with a cause, and that they survived it. */
   served(service: string, cause: CrashCause, atMs: number): void;
   /**
@@ -149,17 +157,30 @@
   const servers = new Set<string>();
   const crashes: Loss[] = [];
   let lastAtMs = Number.NEGATIVE_INFINITY;
+  let lastNoticedAtMs = Number.NEGATIVE_INFINITY;
   for (const loss of losses) {
-    const isSeparate = loss.atMs - lastAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastAtMs;
+    const isSilent = loss.noticedAtMs - loss.atMs >= SILENT_MS;
+    const isSeparate = isSilent
+      ? loss.noticedAtMs - lastNoticedAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastNoticedAtMs
+      : loss.atMs - lastAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastAtMs;
     if (!servers.has(loss.server) && isSeparate) {
       crashes.push(loss);
       lastAtMs = loss.atMs;
+      lastNoticedAtMs = loss.noticedAtMs;
     }
     servers.add(loss.server);
   }
   return crashes;
 }
 
+/**
+ * Returns how long the attempts ran before their servers crashed, in milliseconds. Of requests that were lost in the same
+ * crashes, those that ran longest are the least likely causes.
+ */
+function totalRunMs(losses: readonly Loss[]): number {
+  return separateCrashes(losses).reduce((total, { sentAtMs, atMs }) => total + atMs - sentAtMs, 0);
+}
+
 function countRequests(losses: readonly Loss[]): number {
   return new Set(losses.map(({ digest }) => digest)).size;
 }
@@ -188,8 +209,10 @@
   const explained = createBoundedMap<string, number>(MAX_SERVERS);
   /** Times of the last losses, by server. */
   const lostAtMs = createBoundedMap<string, number>(MAX_SERVERS);
-  /** Causes that were quarantined. */
-  const known = createBoundedMap<string, true>(MAX_CAUSES);
+  /** Causes that were quarantined, with the time of their last crash. */
+  const known = createBoundedMap<string, number>(MAX_CAUSES);
+  /** Causes whose sufficient evidence was explained by another one: their next crash suffices. */
+  const rivals = createBoundedMap<string, true>(MAX_CAUSES);
 
   const servedAtMs = (service: string, cause: CrashCause): number | undefined =>
     served[cause.kind].get(servedKeyOf(service, cause));
@@ -203,7 +226,8 @@
   const isIdentified = (evidence: Evidence): boolean => {
     const { cause, losses } = evidence;
     const unknown = wasServed(evidence) ? SERVED_THRESHOLDS : UNSERVED_THRESHOLDS;
-    return meetsThreshold(losses, known.has(keyOf(cause)) ? KNOWN_THRESHOLD : unknown[cause.kind]);
+    const isNear = known.has(keyOf(cause)) || rivals.has(keyOf(cause));
+    return meetsThreshold(losses, isNear ? KNOWN_THRESHOLD : unknown[cause.kind]);
   };
 
   /**
@@ -217,7 +241,8 @@
       Number(left.cause.kind === CrashCauseKind.Request);
     const crashOrder = separateCrashes(right.losses).length - separateCrashes(left.losses).length;
     const position = (right.losses[0]?.position ?? 0) - (left.losses[0]?.position ?? 0);
-    return servedOrder || kindOrder || position || crashOrder;
+    const runOrder = totalRunMs(left.losses) - totalRunMs(right.losses);
+    return servedOrder || kindOrder || position || crashOrder || runOrder;
   };
 
   /** Drops the losses that a cause explains; a request that crashes servers speaks against its parts once. */
@@ -228,10 +253,12 @@
   };
 
   return {
-    lost: (attempt) => {
+    lost: (attempt, noticedAtMs = attempt.atMs) => {
       const { service, server, request, digest, parts, sentAtMs, atMs } = attempt;
       lostAtMs.set(server, Math.max(atMs, lostAtMs.get(server) ?? atMs));
-      const causes = causesOf(attempt);
+      const causes = causesOf(attempt).filter(
+        (cause) => (servedAtMs(service, cause) ?? Number.NEGATIVE_INFINITY) < atMs,
+      );
       const knownCauses = causes.filter((cause) => known.has(keyOf(cause)));
       if (knownCauses.length > 0) {
         explained.set(server, atMs);
@@ -241,8 +268,13 @@
       const suspected = (knownCauses.length > 0 ? knownCauses : causes).map((cause): Evidence => {
         const key = evidenceKeyOf(service, cause);
         const position = Math.max(0, parts.indexOf(cause.id));
-        const loss = { service, server, request, digest, sentAtMs, atMs, position };
-        const losses = [...(byCause.get(key)?.losses ?? []), loss];
+        const loss = { service, server, request, digest, sentAtMs, atMs, position, noticedAtMs };
+        const before = byCause.get(key)?.losses ?? [];
+        const here = before.filter((other) => other.server === server);
+        const dropped =
+          here.find((other) => other.digest === digest) ??
+          (here.length < MAX_LOSSES_PER_SERVER ? undefined : here[0]);
+        const losses = [...before.filter((other) => other !== dropped), loss];
         losses.sort((left, right) => left.atMs - right.atMs);
         const evidence = { cause, losses: losses.slice(-MAX_LOSSES) };
         byCause.set(key, evidence);
@@ -251,7 +283,10 @@
       return suspected.some(isIdentified);
     },
     served: (service, cause, atMs) => {
-      known.delete(keyOf(cause));
+      if (atMs > (known.get(keyOf(cause)) ?? Number.NEGATIVE_INFINITY)) {
+        known.delete(keyOf(cause));
+        rivals.delete(keyOf(cause));
+      }
       served[cause.kind].set(servedKeyOf(service, cause), Math.max(atMs, servedAtMs(service, cause) ?? atMs));
       const evidence = byCause.get(evidenceKeyOf(service, cause));
       if (evidence !== undefined) {
@@ -288,15 +323,24 @@
       };
     },
     explain: (service, cause) => {
-      known.set(keyOf(cause), true);
       const evidence = byCause.get(evidenceKeyOf(service, cause));
       const own = evidence?.losses.filter((loss) => loss.service === service) ?? [];
+      known.set(keyOf(cause), Math.max(known.get(keyOf(cause)) ?? 0, ...own.map(({ atMs }) => atMs)));
+      const identified = [...byCause.values()].filter(
+        (other) =>
+          other !== evidence &&
+          isIdentified(other) &&
+          !other.losses.some(({ digest }) => digest === cause.id),
+      );
       own.forEach(({ server, atMs }) => {
         explained.set(server, atMs);
       });
       if (evidence !== undefined) {
         evidence.losses = evidence.losses.filter((loss) => loss.service !== service);
       }
+      identified.forEach((other) => {
+        rivals.set(keyOf(other.cause), true);
+      });
       for (const other of byCause.values()) {
         if (!known.has(keyOf(other.cause))) {
           other.losses = explainLosses(other.losses, cause);
