--- a/packages/forwarding/src/request-quarantine.ts
+++ b/packages/forwarding/src/request-quarantine.ts
@@ -20,6 +20,8 @@
    * @param events - number of events of the attempt until then
    */
   lost(events: number): void;
+  /** Records that nobody waits for the answer any more; the attempt is lost if its server ends soon. */
+  abandoned(): void;
   /** Records that the attempt has ended in a way that tells nothing about its server, or was not sent. */
   ended(): void;
 }
@@ -82,7 +84,7 @@
       quarantine.sent(attempt);
       return {
         progressed: (events) => {
-          quarantine.progressed(attempt);
+          quarantine.progressed(attempt, events <= MAX_EVENTS_OF_BEGINNING);
           if (hasOnlyBegun && events > MAX_EVENTS_OF_BEGINNING) {
             hasOnlyBegun = false;
             quarantine.served(service, causesOf(attempt).filter(isPart));
@@ -98,6 +100,9 @@
         lost: (events) => {
           quarantine.lost(attempt, events <= MAX_EVENTS_OF_BEGINNING);
         },
+        abandoned: () => {
+          quarantine.abandoned(attempt);
+        },
         ended: () => {
           quarantine.ended(attempt);
         },
--- a/packages/forwarding/src/running-attempt.ts
+++ b/packages/forwarding/src/running-attempt.ts
@@ -124,7 +124,9 @@
     end: () => {
       if (!isEnded) {
         isEnded = true;
-        if (!attempt.isSent()) {
+        if (attempt.isSent()) {
+          watch.abandoned();
+        } else {
           watch.ended();
         }
         attempt.cancel();
--- a/packages/quarantine/src/quarantine-update.ts
+++ b/packages/quarantine/src/quarantine-update.ts
@@ -34,7 +34,11 @@
 /** Time since the event, in milliseconds. */
 const ago = z.number();
 const idSchema = z.string().max(MAX_ID_LENGTH);
-const causeSchema = z.tuple([z.enum(CrashCauseKind), idSchema]);
+const causeSchema = z.union([
+  z.tuple([z.enum(CrashCauseKind), idSchema]),
+  // Earlier versions report parts only.
+  idSchema.transform((id): [CrashCauseKind, string] => [CrashCauseKind.PromptPart, id]),
+]);
 const lostSchema = z.tuple([
   z.literal(QuarantineUpdateKind.Lost),
   z.string(),
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -35,8 +35,15 @@
   find(service: string, suspects: RequestSuspects): FoundCause | undefined;
   /** Records that an attempt of this entry was sent. */
   sent(attempt: SentAttempt): void;
-  /** Records that a part of the answer to an attempt of this entry has arrived. */
-  progressed(attempt: SentAttempt): void;
+  /**
+   * Records that a part of the answer to an attempt of this entry has arrived.
+   *
+   * @param attempt - the attempt
+   * @param hasOnlyBegun - whether the answer has only begun; true if absent
+   */
+  progressed(attempt: SentAttempt, hasOnlyBegun?: boolean): void;
+  /** Records that nobody waits for the answer of an attempt of this entry any more. */
+  abandoned(attempt: SentAttempt): void;
   /** Records that an attempt of this entry has ended in a way that tells nothing about its server. */
   ended(attempt: SentAttempt): void;
   /**
@@ -104,6 +111,7 @@
   readonly #evidence = createCrashEvidence();
   readonly #unanswered = createUnansweredAttempts();
   readonly #lossReports;
+  readonly #survivalReports;
   readonly #active = new Map<string, ActiveCause>();
   readonly #unpublished = new Set<string>();
   readonly #reportedAtMs = new Map<string, number>();
@@ -113,6 +121,7 @@
   constructor(options: QuarantineOptions) {
     this.#options = options;
     this.#lossReports = createRateLimit(options.clock, MAX_LOSS_REPORTS_PER_SECOND);
+    this.#survivalReports = createRateLimit(options.clock, MAX_LOSS_REPORTS_PER_SECOND);
   }
 
   find(service: string, suspects: RequestSuspects): FoundCause | undefined {
@@ -134,11 +143,15 @@
     this.#unanswered.add(attempt);
   }
 
-  progressed(attempt: SentAttempt): void {
-    this.#unanswered.progressed(attempt, this.#options.clock.now());
+  progressed(attempt: SentAttempt, hasOnlyBegun = true): void {
+    this.#unanswered.progressed(attempt, this.#options.clock.now(), hasOnlyBegun);
     this.#recordSurvival(attempt);
   }
 
+  abandoned(attempt: SentAttempt): void {
+    this.#unanswered.abandon(attempt);
+  }
+
   ended(attempt: SentAttempt): void {
     this.#unanswered.remove(attempt);
   }
@@ -249,7 +262,7 @@
 
   #recordLoss(attempt: LostAttempt): void {
     const { clock, random } = this.#options;
-    const isIdentified = this.#evidence.lost(attempt);
+    const isIdentified = this.#evidence.lost(attempt, clock.now());
     if (isIdentified && !this.#isDecisionPending) {
       this.#isDecisionPending = true;
       clock.after(DECISION_DELAY_MS + DECISION_JITTER_MS * random.fraction(), () => {
@@ -285,11 +298,15 @@
     }
   }
 
-  #activate(quarantined: QuarantinedCause, source: QuarantineSource): void {
+  #activate(received: QuarantinedCause, source: QuarantineSource): void {
     const { clock, wallClock, logger } = this.#options;
+    const quarantined = { ...received, untilMs: Math.min(received.untilMs, wallClock() + QUARANTINE_MS) };
     const id = quarantineIdOf(quarantined);
+    if (quarantined.untilMs <= wallClock()) {
+      return;
+    }
     this.#evidence.explain(quarantined.service, quarantined);
-    if (this.#active.has(id) || quarantined.untilMs <= wallClock()) {
+    if (this.#active.has(id)) {
       return;
     }
     this.#makeRoom();
@@ -314,7 +331,9 @@
   #recordSurvival({ server, sentAtMs }: SentAttempt): void {
     if (this.#evidence.survived(server, sentAtMs)) {
       this.#options.logger.info('server answers after a lost connection', { server });
-      this.#options.broadcast({ kind: QuarantineUpdateKind.Survived, server, sentAtMs });
+      if (this.#survivalReports.tryTake()) {
+        this.#options.broadcast({ kind: QuarantineUpdateKind.Survived, server, sentAtMs });
+      }
     }
   }
 
--- a/packages/quarantine/src/unanswered-attempts.ts
+++ b/packages/quarantine/src/unanswered-attempts.ts
@@ -13,13 +13,19 @@
   readonly attempt: SentAttempt;
   /** When the server last showed that it was working on the attempt, in milliseconds. */
   lastSignAtMs: number;
+  /** Whether no more of the answer has arrived than a part of a prompt that crashes its server lets through. */
+  hasOnlyBegun: boolean;
+  /** Whether nobody waits for the answer any more. */
+  isAbandoned: boolean;
 }
 
 /** The attempts that were not answered yet. */
 export interface UnansweredAttempts {
   add(attempt: SentAttempt): void;
   /** Records that a part of the answer has arrived. */
-  progressed(attempt: SentAttempt, atMs: number): void;
+  progressed(attempt: SentAttempt, atMs: number, hasOnlyBegun: boolean): void;
+  /** Records that nobody waits for the answer any more. */
+  abandon(attempt: SentAttempt): void;
   /** Removes an attempt that was answered, or of which it is known how it ended. */
   remove(attempt: SentAttempt): void;
   /**
@@ -28,7 +34,7 @@
    * @returns those that were silent, as lost since their last sign
    */
   takeSilent(server: string, nowMs: number): LostAttempt[];
-  /** Removes the attempts that have been silent for long. */
+  /** Removes the attempts that are abandoned and have been silent for long. */
   prune(nowMs: number): void;
 }
 
@@ -55,12 +61,24 @@
     add: (attempt) => {
       const attempts = byServer.get(attempt.server) ?? new Map<SentAttempt, UnansweredAttempt>();
       byServer.set(attempt.server, attempts);
-      attempts.set(attempt, { attempt, lastSignAtMs: attempt.sentAtMs });
+      attempts.set(attempt, {
+        attempt,
+        lastSignAtMs: attempt.sentAtMs,
+        hasOnlyBegun: true,
+        isAbandoned: false,
+      });
     },
-    progressed: (attempt, atMs) => {
+    abandon: (attempt) => {
+      const unanswered = byServer.get(attempt.server)?.get(attempt);
+      if (unanswered !== undefined) {
+        unanswered.isAbandoned = true;
+      }
+    },
+    progressed: (attempt, atMs, hasOnlyBegun) => {
       const unanswered = byServer.get(attempt.server)?.get(attempt);
       if (unanswered !== undefined) {
         unanswered.lastSignAtMs = atMs;
+        unanswered.hasOnlyBegun = hasOnlyBegun;
       }
     },
     remove,
@@ -69,12 +87,16 @@
       byServer.delete(server);
       return attempts
         .filter(({ lastSignAtMs }) => nowMs - lastSignAtMs >= MIN_SILENCE_MS)
-        .map(({ attempt, lastSignAtMs }) => ({ ...attempt, atMs: lastSignAtMs }));
+        .map(({ attempt, lastSignAtMs, hasOnlyBegun }) => ({
+          ...attempt,
+          parts: hasOnlyBegun ? attempt.parts : [],
+          atMs: lastSignAtMs,
+        }));
     },
     prune: (nowMs) => {
       for (const attempts of byServer.values()) {
-        for (const { attempt, lastSignAtMs } of attempts.values()) {
-          if (nowMs - lastSignAtMs >= MAX_SILENCE_MS) {
+        for (const { attempt, lastSignAtMs, isAbandoned } of attempts.values()) {
+          if (isAbandoned && nowMs - lastSignAtMs >= MAX_SILENCE_MS) {
             remove(attempt);
           }
         }
--- a/packages/quarantine/test/quarantine.test.ts
+++ b/packages/quarantine/test/quarantine.test.ts
@@ -226,10 +226,11 @@
       clock.advance(CRASH_INTERVAL_MS);
     }
     clock.advance(REGISTRATION_MS);
-    for (const { quarantine } of entries) {
-      [0, 1, 2].forEach((index) => {
+    for (const index of [0, 1, 2]) {
+      for (const { quarantine } of entries) {
         quarantine.serverEnded(`i-${String(index)}`);
-      });
+      }
+      clock.advance(CRASH_INTERVAL_MS);
     }
   }
 
