--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -416,8 +416,8 @@
     promise: 'requests that crash servers',
     mistake: 'the parts of a crashing request are blamed before it',
     file: 'packages/quarantine/src/crash-evidence.ts',
-    from: 'return servedOrder || kindOrder || position || crashOrder;',
-    to: 'return servedOrder || -kindOrder || position || crashOrder;',
+    from: 'return servedOrder || kindOrder || position || crashOrder || runOrder;',
+    to: 'return servedOrder || -kindOrder || position || crashOrder || runOrder;',
     tests: 'packages/quarantine',
   },
   {
