--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -97,12 +97,12 @@
   async handle(
     message: IncomingMessage,
     response: ServerResponse,
-    whenFirst: Promise<void>,
+    whenEarlierEnded: Promise<void>,
     isLast: () => boolean,
   ): Promise<void> {
     const answer = createCallerAnswer(response, () => this.#context.isDraining() && isLast());
     try {
-      await this.#read(message, response, answer, whenFirst);
+      await this.#read(message, response, answer, whenEarlierEnded);
     } catch (error) {
       // The process of the request has not been started, so the request has not run.
       this.#failInternally('', -1, answer, Outcome.NotRun, error);
@@ -113,7 +113,7 @@
     message: IncomingMessage,
     response: ServerResponse,
     answer: CallerAnswer,
-    whenFirst: Promise<void>,
+    whenEarlierEnded: Promise<void>,
   ): Promise<void> {
     const receivedAtMs = this.#context.clock.now();
     const head = this.#context.dialect.readCaller(message.headers);
@@ -126,7 +126,7 @@
       response.once('finish', () => message.destroy());
       return;
     }
-    await whenFirst;
+    await whenEarlierEnded;
     await this.#context.waitForConfiguration(CONFIGURATION_WAIT_MS);
     const inputDelayMs = await readPendingInput(this.#context.clock);
     if (message.socket.readableEnded || message.socket.destroyed || response.destroyed) {
@@ -293,8 +293,8 @@
       noDelay: true,
     },
     (message, response) => {
-      const whenFirst = connections.received(message, response);
-      void reader.handle(message, response, whenFirst, () => connections.isLast(message));
+      const whenEarlierEnded = connections.received(message, response);
+      void reader.handle(message, response, whenEarlierEnded, () => connections.isLast(message));
     },
   );
   // With this listener, Node leaves it to the listener to close the connection.
--- a/packages/quarantine/src/crash-evidence.ts
+++ b/packages/quarantine/src/crash-evidence.ts
@@ -8,34 +8,16 @@
  */
 import { type CrashCause, CrashCauseKind } from '@toucanbend/registry';
 import { createBoundedMap } from './bounded-map.js';
-
-/** What in a request can crash a server. */
-export interface RequestSuspects {
-  /** Digest of the request, the same each time that its caller sends it. */
-  readonly digest: string;
-  /** Parts of the prompt that other prompts may have too, in order. */
-  readonly parts: readonly string[];
-}
-
-/** An attempt whose server was lost before it had answered, as it happens to a request that crashes its server. */
-export interface LostAttempt extends RequestSuspects {
-  readonly service: string;
-  /** Id of the run of the server. */
-  readonly server: string;
-  /** Id of the caller's attempt, for the log. */
-  readonly request: string;
-  /** When the attempt was sent, in milliseconds. */
-  readonly sentAtMs: number;
-  /** When the server was lost, in milliseconds. */
-  readonly atMs: number;
-}
-
-type Loss = Pick<LostAttempt, 'service' | 'server' | 'request' | 'digest' | 'sentAtMs' | 'atMs'> & {
-  /** Index of the part in the prompt; 0 for a whole request. */
-  readonly position: number;
-  /** When this entry was told of the loss, in milliseconds; for a silent connection seconds after it. */
-  readonly noticedAtMs: number;
-};
+import {
+  causesOf,
+  countRequests,
+  type Loss,
+  type LostAttempt,
+  meetsThreshold,
+  separateCrashes,
+  type Threshold,
+  totalRunMs,
+} from './lost-attempt.js';
 
 interface Evidence {
   readonly cause: CrashCause;
@@ -43,12 +25,6 @@
   losses: readonly Loss[];
 }
 
-/** The number of separate crashes and of different requests that identify a cause. */
-interface Threshold {
-  readonly crashes: number;
-  readonly requests: number;
-}
-
 /** For causes that no answer is known to have been served with: of a part, one request that is retried does not suffice. */
 const UNSERVED_THRESHOLDS: Readonly<Record<CrashCauseKind, Threshold>> = {
   [CrashCauseKind.PromptPart]: { crashes: 3, requests: 2 },
@@ -61,12 +37,8 @@
 };
 /** For causes that were quarantined before, at this or another service. */
 const KNOWN_THRESHOLD: Threshold = { crashes: 1, requests: 1 };
-/** Crashes within this time count as one, in milliseconds: servers that fail together have a common cause of their own. */
-const SIMULTANEOUS_MS = 100;
 /** Time within which a loss is due to the same crash of a server as another one, in milliseconds. */
 const SAME_CRASH_MS = 10_000;
-/** Time between the last sign of an attempt and the notice of its loss that shows a silent connection, in milliseconds. */
-const SILENT_MS = 400;
 /** Time after which evidence is dropped, in milliseconds. */
 const EVIDENCE_LIFETIME_MS = 600_000;
 /** Limits of the numbers of causes, of losses for each, and of servers, which bound the memory of this record. */
@@ -136,63 +108,6 @@
   return cause.kind === CrashCauseKind.Request ? keyOf(cause) : servedKeyOf(service, cause);
 }
 
-/**
- * Returns what in a request can crash a server.
- *
- * @param suspects - the digest of the request, and the parts of its prompt
- * @returns the request itself, and the parts
- */
-export function causesOf({ digest, parts }: RequestSuspects): CrashCause[] {
-  return [
-    { kind: CrashCauseKind.Request, id: digest },
-    ...parts.map((part) => ({ kind: CrashCauseKind.PromptPart, id: part })),
-  ];
-}
-
-/**
- * Selects the losses that stand for separate crashes: of different servers, and apart in time or one after the other,
- * which an attempt shows that was sent after the crash before.
- */
-function separateCrashes(losses: readonly Loss[]): Loss[] {
-  const servers = new Set<string>();
-  const crashes: Loss[] = [];
-  let lastAtMs = Number.NEGATIVE_INFINITY;
-  let lastNoticedAtMs = Number.NEGATIVE_INFINITY;
-  for (const loss of losses) {
-    const isSilent = loss.noticedAtMs - loss.atMs >= SILENT_MS;
-    const isSeparate = isSilent
-      ? loss.noticedAtMs - lastNoticedAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastNoticedAtMs
-      : loss.atMs - lastAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastAtMs;
-    if (!servers.has(loss.server) && isSeparate) {
-      crashes.push(loss);
-      lastAtMs = loss.atMs;
-      lastNoticedAtMs = loss.noticedAtMs;
-    }
-    servers.add(loss.server);
-  }
-  return crashes;
-}
-
-/**
- * Returns how long the attempts ran before their servers crashed, in milliseconds. Of requests that were lost in the same
- * crashes, those that ran longest are the least likely causes.
- */
-function totalRunMs(losses: readonly Loss[]): number {
-  return separateCrashes(losses).reduce((total, { sentAtMs, atMs }) => total + atMs - sentAtMs, 0);
-}
-
-function countRequests(losses: readonly Loss[]): number {
-  return new Set(losses.map(({ digest }) => digest)).size;
-}
-
-function meetsThreshold(losses: readonly Loss[], threshold: Threshold): boolean {
-  return (
-    losses.length >= threshold.crashes &&
-    countRequests(losses) >= threshold.requests &&
-    separateCrashes(losses).length >= threshold.crashes
-  );
-}
-
 /**
  * Creates an empty record.
  *
--- a/packages/quarantine/src/quarantine-update.ts
+++ b/packages/quarantine/src/quarantine-update.ts
@@ -2,7 +2,7 @@
 import { clamp, MAX_RELATIVE_MS } from '@toucanbend/core';
 import { type CrashCause, CrashCauseKind, type QuarantinedCause } from '@toucanbend/registry';
 import { z } from 'zod';
-import { type LostAttempt } from './crash-evidence.js';
+import { type LostAttempt } from './lost-attempt.js';
 
 /** The kinds of updates; their values differ from those of load updates, which travel in the same frames. */
 export enum QuarantineUpdateKind {
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -2,7 +2,8 @@
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import { type CrashCause, type QuarantinedCause, quarantineIdOf } from '@toucanbend/registry';
-import { causesOf, createCrashEvidence, type LostAttempt, type RequestSuspects } from './crash-evidence.js';
+import { createCrashEvidence } from './crash-evidence.js';
+import { causesOf, type LostAttempt, type RequestSuspects } from './lost-attempt.js';
 import { type QuarantineUpdate, QuarantineUpdateKind } from './quarantine-update.js';
 import { createRateLimit } from './rate-limit.js';
 import { createUnansweredAttempts, type SentAttempt } from './unanswered-attempts.js';
--- a/packages/quarantine/src/unanswered-attempts.ts
+++ b/packages/quarantine/src/unanswered-attempts.ts
@@ -4,7 +4,7 @@
  * Load pattern: a server crashes and its connections fall silent in place of a reset. The attempts there run into their
  * time limits, or their callers leave, before the registry shows that the server has ended.
  */
-import { type LostAttempt } from './crash-evidence.js';
+import { type LostAttempt } from './lost-attempt.js';
 
 /** An attempt that was sent. */
 export type SentAttempt = Omit<LostAttempt, 'atMs'>;
