Mutants: a mistake counts as seen if only a test of KNOWN-RED.txt fails because of it

A mutant whose only red test is listed there was reported as unseen, since the run of the tests passes over it. Now such a run is compared with one of the tree without the mistake.

--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -516,6 +516,25 @@
   writeFileSync(path, text.replace(from, to));
 }
 
+/** Names of the failed tests that a run passed over because KNOWN-RED.txt lists them. */
+function passedOver(run) {
+  return [...run.stdout.matchAll(/^known red: (.*) \(KNOWN-RED\.txt\)$/gm)].map((match) => match[1]);
+}
+
+/** Returns whether a run passed over a test that passes without the mistake. */
+function failsKnownRedOnly(run, tests, options) {
+  const names = passedOver(run);
+  if (names.length === 0) {
+    return false;
+  }
+  const folder = copyTree();
+  const unchanged = { ...options, cwd: folder };
+  spawnSync(process.execPath, ['scripts/bundle.mjs'], unchanged);
+  const before = passedOver(spawnSync(process.execPath, ['scripts/test.mjs', tests], unchanged));
+  rmSync(folder, { recursive: true, force: true });
+  return names.some((name) => !before.includes(name));
+}
+
 const filter = process.argv[2];
 let unseen = 0;
 for (const mutant of mutants.filter(({ mistake }) => filter === undefined || mistake.includes(filter))) {
@@ -529,7 +548,8 @@
   if (bundled.status !== 0) {
     throw new Error(`bundling the mutated copy failed: ${bundled.stderr}`);
   }
-  const isSeen = run.status !== 0 && run.stdout.includes('✖');
+  const isSeen =
+    (run.status !== 0 && run.stdout.includes('✖')) || failsKnownRedOnly(run, mutant.tests, options);
   unseen += isSeen ? 0 : 1;
   const failed = /ℹ fail (\d+)/.exec(run.stdout)?.[1] ?? '?';
   process.stdout.write(
