LOST: a connection that is kept open keeps no listener of requests that have ended

Found by reading the diff: since requests wait for the earlier ones on their connection, each left a listener on it until it closed, which takes memory on connections that are kept open, and Node warned of it after ten.

--- a/packages/forwarding/src/caller-connections.ts
+++ b/packages/forwarding/src/caller-connections.ts
@@ -82,9 +82,14 @@
       update(socket, (use) => ({ ...use, requests: use.requests + 1 }));
       const earlier = ends.get(socket) ?? Promise.resolve();
       const ended = new Promise<void>((resolve) => {
+        const end = (): void => {
+          response.off('close', end);
+          socket.off('close', end);
+          resolve();
+        };
+        response.once('close', end);
         // A response that waits for an earlier one is not told that its connection closes.
-        response.once('close', resolve);
-        socket.once('close', resolve);
+        socket.once('close', end);
       });
       ends.set(socket, ended);
       last.set(socket, message);
