Review case 2: two faulty servers, at a rate that the link allows

Change: garbage of at most 20 MB/s from two of five engines, so that each run meets it several times.

--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -7,10 +7,13 @@
 const ENGINES = 5;
 const EVENTS = 32;
 const EVENT_MS = 50;
-/** One engine of five is faulty, and spoils one of this many of its answers. */
+/** Some engines are faulty, and each spoils one of this many of its answers. */
+const FAULTY_ENGINES = 2;
 const SPOILED_EVERY = 20;
 /** What the faulty server sends again and again, until the connection is closed: it is no event of the answer. */
 const GARBAGE = Buffer.from('data: garbage garbage garbage garbage\n\n'.repeat(4_096));
+/** Interval between the pieces of garbage, in milliseconds: at most 20 MB/s, a sixth of the link of an entry. */
+const GARBAGE_INTERVAL_MS = 8;
 const STREAM_CLIENTS = 16;
 const CALLERS = 40;
 const CALL_MS = 86;
@@ -75,22 +78,19 @@
       isOpen = false;
       record.note(`the connection of ${requestId} is closed after ${String(Math.round(sentBytes / 1e6))} MB`);
     });
-    const sendMore = (): void => {
-      while (isOpen) {
+    const timer = setInterval(() => {
+      if (!isOpen) {
+        clearInterval(timer);
+      } else if (!response.writableNeedDrain) {
         sentBytes += GARBAGE.length;
-        if (!response.write(GARBAGE)) {
-          response.once('drain', sendMore);
-          return;
-        }
+        response.write(GARBAGE);
       }
-    };
-    sendMore();
+    }, GARBAGE_INTERVAL_MS);
     return true;
   };
 }
-const [faulty] = engines;
-if (isTrouble && faulty !== undefined) {
-  spoilAnswers(faulty);
+if (isTrouble) {
+  engines.slice(0, FAULTY_ENGINES).forEach(spoilAnswers);
 }
 await deployment.whenReady(entries);
 record.note(isTrouble ? 'all entries ready; trouble: garble' : 'all entries ready; no trouble');
