--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -1,6 +1,6 @@
 /** Kills an entry while it passes on a stream that has neither a length nor chunks. */
 import { type Answer, AnswerEnd, ClientConnection, Framing } from '../support/client.js';
-import { sleep, startDeployment, entryOfTurn } from '../support/deployment.js';
+import { type Entry, sleep, startDeployment, entryOfTurn } from '../support/deployment.js';
 import { createRecorder } from '../support/recorder.js';
 import { answerHeaders, type BackendStandIn, eventText, startBackend } from '../support/server.js';
 
@@ -23,14 +23,13 @@
   routes: [{ name: 'draft', service: 'model', kind: 'streaming' }],
   record,
 });
-const victim = entryOfTurn(deployment.entries, 0);
 let kills = 0;
 let isKillPending = false;
 const loadEndsAtMs = performance.now() + LOAD_MS;
-/** Ids of the requests that were sent to the entry that is killed. */
-const sentToVictim = new Set<string>();
+/** The entries to which the requests were sent. */
+const entryOf = new Map<string, Entry>();
 
-async function killAndRestart(requestId: string): Promise<void> {
+async function killAndRestart(victim: Entry, requestId: string): Promise<void> {
   isKillPending = true;
   kills += 1;
   await sleep(KILL_DELAY_MS);
@@ -69,8 +68,9 @@
     response.on('close', () => {
       clearInterval(timer);
     });
-    if (isTrouble && sentToVictim.has(requestId) && !isKillPending && kills < KILLS) {
-      void killAndRestart(requestId);
+    const victim = entryOf.get(requestId);
+    if (isTrouble && victim !== undefined && !isKillPending && kills < KILLS) {
+      void killAndRestart(victim, requestId);
     }
     return true;
   };
@@ -102,9 +102,7 @@
     requests += 1;
     const requestId = `request-${String(requests)}`;
     const entry = entryOfTurn(deployment.entries, requests);
-    if (entry === victim) {
-      sentToVictim.add(requestId);
-    }
+    entryOf.set(requestId, entry);
     const connection = new ClientConnection(entry.callerPort);
     const answer = await connection.request({
       requestId,
