--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -10,8 +10,8 @@
 /** Some engines are faulty, and each spoils one of this many of its answers. */
 const FAULTY_ENGINES = 2;
 const SPOILED_EVERY = 20;
-/** What the faulty server sends again and again, until the connection is closed: it is no event of the answer. */
-const GARBAGE = Buffer.from('data: garbage garbage garbage garbage\n\n'.repeat(4_096));
+/** What the faulty server sends again and again, until the connection is closed: no event, and nothing of the answer. */
+const GARBAGE = Buffer.from('garbage garbage garbage garbage garbag\n\n'.repeat(4_096));
 /** Interval between the pieces of garbage, in milliseconds: at most 20 MB/s, a sixth of the link of an entry. */
 const GARBAGE_INTERVAL_MS = 8;
 const STREAM_CLIENTS = 16;
