--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 for case in review/*/case.ts; do
   name="$(basename "$(dirname "$case")")"
-  npx esbuild "$case" --bundle --platform=node --target=node20 --format=esm --log-level=error \
+  node_modules/.bin/esbuild "$case" --bundle --platform=node --target=node20 --format=esm --log-level=error \
     --external:cbor-extract --outfile="target/review/$name.mjs"
 done
