--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -15,7 +15,7 @@
 /** Time between two times that the fatal request comes, in milliseconds. */
 const FATAL_INTERVAL_MS = 4_000;
 const FATAL_PATH = '/confirm/fatal';
-const CALLS_PER_SECOND = 20;
+const CALLS_PER_SECOND = 60;
 const LOAD_MS = 60_000;
 /** `stable_window_ms` of the users' settings. */
 const STABLE_WINDOW_MS = 3_000;
