--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -11,7 +11,7 @@
 const UNFRAMED_SERVERS = 3;
 const UNFRAMED_EVERY = 20;
 const CLIENTS = 20;
-const LOAD_MS = 16_000;
+const LOAD_MS = 30_000;
 /** Time from the beginning of an answer without a length to the kill, in milliseconds; the answer takes 1,920. */
 const KILL_DELAY_MS = 500;
 const KILLS = 2;
