MIXED: mark the end of all answers to callers, whatever marked that of the server's

Cause: such an answer was passed on as it came, so that only the close of the connection ended it. Before it was known how to tell a reset from an end, this kept an answer that a crash had cut from being passed on as a whole one. But the operating system closes the connections of a process that ends, however it ends, in order. Resetting them, as for answers that are broken off, takes a process that still runs.

Whole answers have their length. The same for whole answers of the product's own entry, and for the answers to input that is no request.

--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -84,6 +84,9 @@
   response.end(`${JSON.stringify({ error: { message, outcome: Outcome.NotRun, findings, requestId } })}\n`);
 }
 
+/** Statuses whose answers have no body, and no length either (RFC 9110, section 8.6). */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /**
  * Sends the answer of a plain service to the caller.
  *
@@ -94,6 +97,7 @@
 export function sendCallAnswer(response: ServerResponse, requestId: string, answer: CallAnswer): void {
   response.writeHead(answer.status, {
     'content-type': answer.contentType,
+    ...(BODILESS_STATUSES.has(answer.status) ? {} : { 'content-length': String(answer.bytes.length) }),
     'x-request-id': requestId,
     'x-outcome': Outcome.Complete,
   });
@@ -140,19 +144,21 @@
         sendOutcome(response, request.requestId, end);
         return;
       }
-      response.writeHead(200, {
-        'content-type': 'application/json',
-        'x-request-id': request.requestId,
-        'x-outcome': end.outcome,
-      });
       const choices = [choiceOf(style, tokens.join(''), false, 'stop')];
-      const body = {
+      const value = {
         id: request.requestId,
         model: request.target,
         choices,
         usage: usageOf(request, tokens.length),
       };
-      response.end(`${JSON.stringify(body)}\n`);
+      const body = Buffer.from(`${JSON.stringify(value)}\n`);
+      response.writeHead(200, {
+        'content-type': 'application/json',
+        'content-length': String(body.length),
+        'x-request-id': request.requestId,
+        'x-outcome': end.outcome,
+      });
+      response.end(body);
     },
   };
 }
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -306,7 +306,7 @@
     if (!connections.closeAfterAnswers(socket)) {
       const status = statusOfClientError(error);
       if (socket.writable) {
-        socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+        socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
       }
       socket.destroy(error);
     }
