--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -3,7 +3,7 @@
 import { Outcome } from '@toucanbend/core';
 import { DecisionKind as LogDecision } from '@toucanbend/observability';
 import { DecisionKind, splitJob } from '@toucanbend/placement';
-import { type BackendServer, RepeatPolicy } from '@toucanbend/registry';
+import { type BackendServer, RepeatPolicy, runIdOf } from '@toucanbend/registry';
 import { type AttemptEvent, AttemptEventType, AttemptFailure, type AttemptFault } from './attempt.js';
 import {
   type CallerAnswer,
@@ -184,7 +184,7 @@
       answer: this.#answer,
       lastEventId: this.#lastEventId,
       timeLeftMs: this.#timeLeftMs(),
-      watch: this.#quarantine.watch(server.id, this.#isResumed()),
+      watch: this.#quarantine.watch(runIdOf(server), this.#isResumed()),
       report: (event) => {
         this.#inbox.send({ type: ForwardMessageType.Attempt, attempt: number, event });
       },
--- a/packages/forwarding/test/crashing-request.test.ts
+++ b/packages/forwarding/test/crashing-request.test.ts
@@ -45,7 +45,7 @@
 }
 
 /** Starts servers that each end when they run a request with the crashing body, and answer all others. */
-async function startDeployment(): Promise<Deployment> {
+async function startDeployment(keepsIds = false): Promise<Deployment> {
   const clock = createManualClock();
   let crashesLeft = 0;
   const servers: ScriptedServer[] = [];
@@ -58,7 +58,7 @@
       crashesLeft = Math.max(0, crashesLeft - 1);
       clock.advance(RUN_MS);
       socket.resetAndDestroy();
-      gateway.restartServer(server.port);
+      gateway.restartServer(server.port, keepsIds);
     });
     servers.push(server);
   }
@@ -118,6 +118,20 @@
     });
   }
 
+  it('reaches no further server after the third crash, though its servers return under their ids and answer', async () => {
+    const deployment = await startDeployment(true);
+    const crashing = { path: paths.once, body: CRASHING_BODY };
+    for (let crashes = 0; crashes < 3; crashes += 1) {
+      assert.equal((await deployment.call(crashing)).status, 502);
+      for (let calls = 0; calls < SERVERS; calls += 1) {
+        const sound = { path: paths.repeatable, body: `sound ${String(crashes)} ${String(calls)}` };
+        assert.equal((await deployment.call(sound)).status, 200);
+      }
+    }
+    deployment.clock.advance(DECIDED_MS);
+    assert.equal((await deployment.call(crashing)).status, 503);
+  });
+
   it('is recognised by its body whatever the framing', async () => {
     const deployment = await startDeployment();
     await crashThreeServers(deployment, { path: paths.once, body: CRASHING_BODY });
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -29,6 +29,7 @@
   type RegistryRecord,
   RepeatPolicy,
   type Route,
+  runIdOf,
   ServerState,
 } from '@toucanbend/registry';
 import { createServerRestrictions, type RestrictionUpdate, UNLIMITED } from '@toucanbend/restrictions';
@@ -137,7 +138,7 @@
   limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
 };
 
-function serverRecord(id: string, port: number): RegistryRecord {
+function serverRecord(id: string, port: number, bornAtMs = 0): RegistryRecord {
   const value = {
     id,
     service: 'vanes',
@@ -146,7 +147,7 @@
     dataCentre: 'bagmati-a',
     slots: 4,
     state: ServerState.Ready,
-    bornAtMs: 0,
+    bornAtMs,
   };
   return { kind: RecordKind.Server, id, position: { era: 1, revision: 1 }, value };
 }
@@ -167,8 +168,8 @@
   stopAccepting(): void;
   /** Puts a catalogue into the registry. */
   setCatalogue(value: Catalogue): void;
-  /** Replaces the record of the server on a port by that of its next run. */
-  restartServer(port: number): void;
+  /** Replaces the record of the server on a port by that of its next run, which has a new id unless it keeps that of before. */
+  restartServer(port: number, keepsId?: boolean): void;
   close(): void;
 }
 
@@ -312,16 +313,17 @@
       registry = mergeRecords(registry, [record], {});
       resolveCatalogue();
     },
-    restartServer: (port) => {
+    restartServer: (port, keepsId = false) => {
       revision += 1;
       const position = { era: 1, revision };
       const ended = listServers(registry).find((server) => server.port === port);
-      const next = serverRecord(`s${String(port)}-${String(revision)}`, port);
+      const id = keepsId && ended !== undefined ? ended.id : `s${String(port)}-${String(revision)}`;
+      const next = serverRecord(id, port, revision);
       const removed =
-        ended === undefined ? [] : [{ kind: RecordKind.Server as const, id: ended.id, position }];
+        ended === undefined || keepsId ? [] : [{ kind: RecordKind.Server as const, id: ended.id, position }];
       registry = mergeRecords(registry, [...removed, { ...next, position }], {});
       if (ended !== undefined) {
-        quarantine.serverEnded(ended.id);
+        quarantine.serverEnded(runIdOf(ended));
       }
     },
     startDraining: (answersUntilMs) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,7 +38,7 @@
 } from '@toucanbend/registry';
 import { createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
 import { Registry as MetricsRegistry } from 'prom-client';
-import { describeRegistry, logRegistryChanges, readyServers, serversRemoved } from './registry-report.js';
+import { describeRegistry, logRegistryChanges, readyServers, runsEnded } from './registry-report.js';
 import { answersUntil, drainRequests } from './drain.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
 import { type ListenAddress } from './listen-address.js';
@@ -227,7 +227,7 @@
   const port = createCallerPort(context);
   holder.onChange((after, before) => {
     logRegistryChanges(logger, after, before);
-    serversRemoved(after, before).forEach(quarantine.serverEnded.bind(quarantine));
+    runsEnded(after, before).forEach(quarantine.serverEnded.bind(quarantine));
     applyQuarantineRecords(quarantine, after, before);
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
       port.applyLimits(after.catalogue);
--- a/packages/gateway/src/registry-report.ts
+++ b/packages/gateway/src/registry-report.ts
@@ -7,6 +7,7 @@
   listServers,
   RecordKind,
   type Registry,
+  runIdOf,
   ServerState,
 } from '@toucanbend/registry';
 
@@ -62,17 +63,17 @@
 }
 
 /**
- * Lists the servers whose records were removed by a change.
+ * Lists the runs of servers that a change shows to have ended: their records were removed, or replaced by those of later runs.
  *
  * @param after - the registry after the change
  * @param before - the registry before it
- * @returns the ids of the servers
+ * @returns the ids of the runs
  */
-export function serversRemoved(after: Registry, before: Registry): string[] {
-  const remaining = new Set(listServers(after).map(({ id }) => id));
+export function runsEnded(after: Registry, before: Registry): string[] {
+  const remaining = new Set(listServers(after).map(runIdOf));
   return readyServers(before)
-    .map(({ id }) => id)
-    .filter((id) => !remaining.has(id));
+    .map(runIdOf)
+    .filter((run) => !remaining.has(run));
 }
 
 /**
--- a/packages/membership/test/odd-updates.test.ts
+++ b/packages/membership/test/odd-updates.test.ts
@@ -147,7 +147,7 @@
       causes: [cause],
       atMs: NOW_MS,
     };
-    const survived = { kind: QuarantineUpdateKind.Survived as const, server: 's1', sentAtMs: NOW_MS };
+    const survived = { kind: QuarantineUpdateKind.Survived as const, server: 's1', aliveAtMs: NOW_MS };
     const quarantined = { service: 'model', ...cause, untilMs: NOW_MS + 600_000 };
     const updates = [
       encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Lost, attempt: lost }, NOW_MS),
@@ -165,8 +165,9 @@
           assert.ok(Math.abs(update.quarantined.untilMs) <= Number.MAX_SAFE_INTEGER);
         } else {
           const event = update.kind === QuarantineUpdateKind.Lost ? update.attempt : update;
-          const times = [event].flatMap(({ atMs, sentAtMs }: { atMs?: number; sentAtMs?: number }) =>
-            [atMs, sentAtMs].filter((time) => time !== undefined),
+          const times = [event].flatMap(
+            ({ atMs, sentAtMs, aliveAtMs }: { atMs?: number; sentAtMs?: number; aliveAtMs?: number }) =>
+              [atMs, sentAtMs, aliveAtMs].filter((time) => time !== undefined),
           );
           assert.ok(times.length > 0 && Math.max(...times) <= NOW_MS, `events at ${times.join(', ')} ms`);
         }
--- a/packages/quarantine/src/crash-evidence.ts
+++ b/packages/quarantine/src/crash-evidence.ts
@@ -73,11 +73,13 @@
   /** Records that servers have answered requests with a cause, and that they survived it. */
   served(service: string, cause: CrashCause, atMs: number): void;
   /**
-   * Records that a server has answered an attempt, so that it did not crash before it got it.
+   * Records that a run of a server was alive at a time, so that what was lost there before was lost in no crash.
    *
    * @returns whether attempts had been lost there before
    */
-  survived(server: string, sentAtMs: number): boolean;
+  survived(server: string, aliveAtMs: number): boolean;
+  /** Returns when an attempt was lost last at a run of a server that has not survived it; undefined if none was. */
+  lastLostAtMs(server: string): number | undefined;
   /** Returns when a cause was last served; undefined if that is not known. */
   servedAtMs(service: string, cause: CrashCause): number | undefined;
   /** Returns whether attempts with a cause were lost since it was last served. */
@@ -240,16 +242,17 @@
         evidence.losses = evidence.losses.filter((loss) => loss.service !== service || loss.atMs > atMs);
       }
     },
-    survived: (server, sentAtMs) => {
-      if ((lostAtMs.get(server) ?? Number.POSITIVE_INFINITY) >= sentAtMs) {
+    survived: (server, aliveAtMs) => {
+      if ((lostAtMs.get(server) ?? Number.POSITIVE_INFINITY) >= aliveAtMs) {
         return false;
       }
       lostAtMs.delete(server);
       for (const evidence of byCause.values()) {
-        evidence.losses = evidence.losses.filter((loss) => loss.server !== server || loss.atMs >= sentAtMs);
+        evidence.losses = evidence.losses.filter((loss) => loss.server !== server || loss.atMs >= aliveAtMs);
       }
       return true;
     },
+    lastLostAtMs: (server) => lostAtMs.get(server),
     servedAtMs,
     isSuspected: (service, cause) =>
       byCause.get(evidenceKeyOf(service, cause))?.losses.some((loss) => loss.service === service) === true,
--- a/packages/quarantine/src/quarantine-update.ts
+++ b/packages/quarantine/src/quarantine-update.ts
@@ -11,7 +11,7 @@
   /** Servers have survived answers to requests with these causes. */
   Served = 11,
   Quarantined = 12,
-  /** A server has answered an attempt that was sent after another one was lost there. */
+  /** A run of a server was alive after an attempt was lost there. */
   Survived = 13,
 }
 
@@ -25,7 +25,7 @@
       readonly atMs: number;
     }
   | { readonly kind: QuarantineUpdateKind.Quarantined; readonly quarantined: QuarantinedCause }
-  | { readonly kind: QuarantineUpdateKind.Survived; readonly server: string; readonly sentAtMs: number };
+  | { readonly kind: QuarantineUpdateKind.Survived; readonly server: string; readonly aliveAtMs: number };
 
 /** Longest id of a part or digest of a request that is read, in characters. */
 const MAX_ID_LENGTH = 256;
@@ -88,7 +88,7 @@
       return [update.kind, service, kind, id, untilMs];
     }
     case QuarantineUpdateKind.Survived:
-      return [update.kind, update.server, Math.round(nowMs - update.sentAtMs)];
+      return [update.kind, update.server, Math.round(nowMs - update.aliveAtMs)];
   }
 }
 
@@ -123,7 +123,7 @@
     }
     case QuarantineUpdateKind.Survived: {
       const [kind, server, agoMs] = fields;
-      return { kind, server, sentAtMs: timeOf(agoMs) };
+      return { kind, server, aliveAtMs: timeOf(agoMs) };
     }
   }
 }
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,11 +1,12 @@
 /** The quarantine of an entry: collects evidence of all entries, decides on causes and keeps the list of those in force. */
-import { type Clock, type Random } from '@toucanbend/core';
+import { type CancelTimer, type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import { type CrashCause, type QuarantinedCause, quarantineIdOf } from '@toucanbend/registry';
 import { createCrashEvidence } from './crash-evidence.js';
 import { causesOf, type LostAttempt, type RequestSuspects } from './lost-attempt.js';
 import { type QuarantineUpdate, QuarantineUpdateKind } from './quarantine-update.js';
 import { createRateLimit } from './rate-limit.js';
+import { REGISTRATION_MS, SurvivalKind, survivalShownBy } from './survival.js';
 import { createUnansweredAttempts, type SentAttempt } from './unanswered-attempts.js';
 
 /** Dependencies and callbacks of a quarantine. */
@@ -51,7 +52,7 @@
   lost(attempt: SentAttempt): void;
   /** Records that a server has given whole answers to requests of this entry with these causes, and has survived it. */
   served(service: string, causes: readonly CrashCause[]): void;
-  /** Records that a server is no longer registered, so that its attempts will not be answered. */
+  /** Records that a run of a server is no longer registered, so that its attempts will not be answered. */
   serverEnded(server: string): void;
   /** Handles an update of another entry. */
   receive(update: QuarantineUpdate): void;
@@ -110,6 +111,8 @@
   readonly #survivalReports;
   readonly #active = new Map<string, ActiveCause>();
   readonly #unpublished = new Set<string>();
+  /** Runs that have answered, unless the registry shows that others have taken their places; each with what cancels that. */
+  readonly #unconfirmed = new Map<string, CancelTimer>();
   readonly #reportedAtMs = new Map<string, number>();
   readonly #listeners = new Set<(quarantined: QuarantinedCause) => void>();
   #isDecisionPending = false;
@@ -147,7 +150,7 @@
 
   progressed(attempt: SentAttempt): void {
     this.#unanswered.progressed(attempt, this.#options.clock.now());
-    this.#recordSurvival(attempt);
+    this.#recordSign(attempt);
   }
 
   abandoned(attempt: SentAttempt): void {
@@ -174,6 +177,8 @@
   }
 
   serverEnded(server: string): void {
+    this.#unconfirmed.get(server)?.();
+    this.#unconfirmed.delete(server);
     for (const attempt of this.#unanswered.takeSilent(server, this.#options.clock.now())) {
       this.#reportLoss(attempt, 'server ended');
     }
@@ -196,7 +201,7 @@
         this.#recordServed(update.service, update.causes, update.atMs);
         break;
       case QuarantineUpdateKind.Survived:
-        this.#evidence.survived(update.server, update.sentAtMs);
+        this.#evidence.survived(update.server, update.aliveAtMs);
         break;
       case QuarantineUpdateKind.Quarantined:
         this.#activate(update.quarantined, QuarantineSource.Peer);
@@ -328,12 +333,32 @@
     }
   }
 
-  /** Records that a server has answered an attempt, and reports it if attempts were lost at that server before. */
-  #recordSurvival({ server, sentAtMs }: SentAttempt): void {
-    if (this.#evidence.survived(server, sentAtMs)) {
+  /** Records what a part of an answer shows about attempts that were lost before at the same run of the server. */
+  #recordSign({ server, sentAtMs }: SentAttempt): void {
+    const { clock } = this.#options;
+    const lostAtMs = this.#evidence.lastLostAtMs(server);
+    if (lostAtMs === undefined) {
+      return;
+    }
+    const survival = survivalShownBy({ sentAtMs, lostAtMs, nowMs: clock.now() });
+    if (survival.kind === SurvivalKind.Survived) {
+      this.#recordSurvival(server, survival.aliveAtMs);
+    } else if (survival.kind === SurvivalKind.SurvivedUnlessReplaced && !this.#unconfirmed.has(server)) {
+      const { aliveAtMs } = survival;
+      const cancel = clock.after(REGISTRATION_MS, () => {
+        this.#unconfirmed.delete(server);
+        this.#recordSurvival(server, aliveAtMs);
+      });
+      this.#unconfirmed.set(server, cancel);
+    }
+  }
+
+  /** Records that a run of a server was alive, and reports it if attempts were lost there before. */
+  #recordSurvival(server: string, aliveAtMs: number): void {
+    if (this.#evidence.survived(server, aliveAtMs)) {
       this.#options.logger.info('server answers after a lost connection', { server });
       if (this.#survivalReports.tryTake()) {
-        this.#options.broadcast({ kind: QuarantineUpdateKind.Survived, server, sentAtMs });
+        this.#options.broadcast({ kind: QuarantineUpdateKind.Survived, server, aliveAtMs });
       }
     }
   }
--- a/packages/registry/src/member.ts
+++ b/packages/registry/src/member.ts
@@ -8,7 +8,7 @@
 
 /** Registration of a backend server. */
 export interface BackendServer {
-  /** Identifier of one run of the server; a restarted server usually has a new one. */
+  /** Identifier of the server; a restarted one usually has a new one, but not always. */
   readonly id: string;
   readonly service: string;
   readonly host: string;
@@ -20,6 +20,16 @@
   readonly bornAtMs: number;
 }
 
+/**
+ * Identifies one run of a server: a server may start again under the id that it had.
+ *
+ * @param server - the id and the start of the run
+ * @returns an id that no other run has
+ */
+export function runIdOf({ id, bornAtMs }: Pick<BackendServer, 'id' | 'bornAtMs'>): string {
+  return `${id}@${String(bornAtMs)}`;
+}
+
 /** Registration of an entry, by which other entries discover it. */
 export interface EntryMember {
   readonly name: string;
