LOST: bound the chunks and the memory of answers, and the heads of responses that entries read

Report of another operator: bytes without end from a faulty server.

Pieces are copied into one buffer, since a list of short ones takes a hundred times their bytes. Responses of the store and of engines have the same bounds.

--- a/packages/forwarding/src/answer-relay.ts
+++ b/packages/forwarding/src/answer-relay.ts
@@ -1,6 +1,7 @@
 /** Relays the answer of one attempt to the caller: buffered until it is complete, or event by event for a stream. */
-import { Outcome } from '@toucanbend/core';
+import { createByteBuffer, Outcome } from '@toucanbend/core';
 import { type BackendServer } from '@toucanbend/registry';
+import { MAX_ANSWER_BYTES } from './answer-memory.js';
 import {
   type AnswerStart,
   type AttemptEvent,
@@ -55,9 +56,6 @@
   handle(event: AttemptEvent, mayRepeat: boolean): AttemptResult | undefined;
 }
 
-/** Limit on a buffered answer in bytes: a few of them at once fit into the memory of the smallest host. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-
 const unsignedAnswer = (start: AnswerStart | undefined): AttemptResult => ({
   failure: AttemptFailure.InDoubt,
   detail: `status ${String(start?.status)} without a signature`,
@@ -75,8 +73,7 @@
   readonly #answer: CallerAnswer;
   readonly #server: BackendServer;
   readonly #sentAtMs: number;
-  readonly #chunks: Buffer[] = [];
-  #length = 0;
+  readonly #body = createByteBuffer();
   #start: AnswerStart | undefined;
   fallback: FallbackAnswer | undefined;
   readonly eventCount = 0;
@@ -113,11 +110,15 @@
   }
 
   #collect(chunk: Buffer): AttemptResult | undefined {
-    this.#length += chunk.length;
-    if (this.#length > MAX_ANSWER_BYTES) {
-      return { failure: AttemptFailure.InDoubt, detail: 'answer too long' };
+    if (this.#body.length() + chunk.length > MAX_ANSWER_BYTES) {
+      const detail = `answer of over ${String(MAX_ANSWER_BYTES)} bytes`;
+      return { failure: AttemptFailure.InDoubt, detail };
+    }
+    if (!this.#answer.tryHold(chunk.length)) {
+      const detail = `no memory for an answer of over ${String(this.#body.length())} bytes`;
+      return { failure: AttemptFailure.InDoubt, detail };
     }
-    this.#chunks.push(chunk);
+    this.#body.add(chunk);
     return undefined;
   }
 
@@ -126,7 +127,7 @@
     if (start === undefined) {
       return unsignedAnswer(start);
     }
-    const body = Buffer.concat(this.#chunks);
+    const body = this.#body.bytes();
     const { clock, loadTracker } = this.#context;
     loadTracker.recordCallDuration(this.#server.id, clock.now() - this.#sentAtMs);
     if (isServerError(start.status) && mayRepeat) {
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,9 +1,11 @@
 /** An attempt: one HTTP request to one backend server, on a connection of its own. */
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
-import { type Socket } from 'node:net';
 import { type Clock } from '@toucanbend/core';
+import { type AnswerForm } from '@toucanbend/registry';
 import { type ServerNotice } from '@toucanbend/restrictions';
+import { createChunkLimit } from './chunk-limit.js';
 import { type AnswerHead, type Dialect, type RawHeaders } from './dialect.js';
+import { limitHeadSize } from './head-limit.js';
 import { endToEndHeaders, headersByName } from './headers.js';
 import { createReadLimit, type ReadLimit } from './read-limit.js';
 
@@ -64,6 +66,7 @@
   readonly headers: RawHeaders;
   readonly body: Buffer;
   readonly requestId: string;
+  readonly form: AnswerForm;
   /** Connect timeout, in milliseconds. */
   readonly connectTimeoutMs: number;
   readonly clock: Clock;
@@ -85,9 +88,6 @@
   cancel(): void;
 }
 
-/** Limit on the head of an answer in bytes, including the interim responses and blank lines before it. */
-const MAX_HEAD_BYTES = 64 * 1024;
-
 /** Limit on the ids of answers in the log, in characters. */
 const MAX_LOGGED_ID_LENGTH = 64;
 
@@ -216,7 +216,15 @@
     return;
   }
   reporter.report({ type: AttemptEventType.Started, start });
-  message.on('data', body.add);
+  const chunkLimit = createChunkLimit(options.form);
+  message.on('data', (chunk: Buffer) => {
+    if (chunkLimit.isExceededBy(chunk.length)) {
+      reporter.failInterrupted('answer in too many short chunks');
+      outgoing.destroy();
+      return;
+    }
+    body.add(chunk);
+  });
   message.on('end', () => {
     body.flush();
     if (message.complete && (start.isFramed || !reporter.isReset)) {
@@ -229,18 +237,6 @@
   });
 }
 
-/** Fails an attempt whose server sends an unbounded head, such as endless interim responses or blank lines. */
-function limitHeadSize(reporter: AttemptReporter, outgoing: ClientRequest, socket: Socket): void {
-  let received = 0;
-  socket.on('data', (chunk: Buffer) => {
-    received += reporter.hasHead ? 0 : chunk.length;
-    if (!reporter.hasHead && received > MAX_HEAD_BYTES) {
-      reporter.failInterrupted('head of the answer too long');
-      outgoing.destroy();
-    }
-  });
-}
-
 /**
  * Starts an attempt.
  *
@@ -267,9 +263,13 @@
       outgoing.destroy();
     }
   });
+  let stopWatchingHead = (): void => undefined;
   outgoing.on('socket', (socket) => {
     socket.setNoDelay(true);
-    limitHeadSize(reporter, outgoing, socket);
+    stopWatchingHead = limitHeadSize(socket, () => {
+      reporter.failInterrupted('head of the answer too long');
+      outgoing.destroy();
+    });
     // libuv reports a reset that arrives together with data as the end of the stream, which completes an answer without
     // a length. Only a connection that was not reset still has a peer at that time.
     socket.prependOnceListener('end', () => {
@@ -286,6 +286,7 @@
     () => answer?.resume(),
   );
   outgoing.on('response', (message) => {
+    stopWatchingHead();
     reporter.hasHead = true;
     answer = message;
     handleResponse(options, reporter, outgoing, message, limit);
--- a/packages/forwarding/src/body-reader.ts
+++ b/packages/forwarding/src/body-reader.ts
@@ -1,5 +1,6 @@
 /** Reads the bodies of callers' requests. */
 import { type IncomingMessage } from 'node:http';
+import { createByteBuffer } from '@toucanbend/core';
 import { EndReason } from './caller-answer.js';
 
 /** Reads the bodies of callers' requests. */
@@ -31,8 +32,7 @@
     },
     read: (request, limitBytes) =>
       new Promise((resolve) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const received = createByteBuffer();
         const end = (body: Buffer | EndReason): void => {
           unfinished.delete(endLeaving);
           resolve(body);
@@ -42,15 +42,14 @@
         };
         unfinished.add(endLeaving);
         request.on('data', (chunk: Buffer) => {
-          length += chunk.length;
-          if (length > limitBytes) {
+          if (received.length() + chunk.length > limitBytes) {
             end(EndReason.BodyTooLong);
             return;
           }
-          chunks.push(chunk);
+          received.add(chunk);
         });
         request.on('end', () => {
-          end(Buffer.concat(chunks));
+          end(received.bytes());
         });
         request.on('close', () => {
           end(EndReason.CallerGone);
--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -2,6 +2,7 @@
 import { type ServerResponse } from 'node:http';
 import { type ByteBuffer, createByteBuffer, Outcome } from '@toucanbend/core';
 import { RejectionReason } from '@toucanbend/placement';
+import { type AnswerAccount, MAX_ANSWER_BYTES } from './answer-memory.js';
 import { BODILESS_STATUSES } from './attempt.js';
 import { type RawHeaders } from './dialect.js';
 import { headersByName } from './headers.js';
@@ -107,6 +108,13 @@
    */
   begin(head: AnswerHeadLine): void;
   write(bytes: Buffer): void;
+  /**
+   * Takes memory for a part of an answer that is held until it is complete; it is given back when the caller has read the
+   * answer or its connection has closed.
+   *
+   * @returns false if there is none left
+   */
+  tryHold(bytes: number): boolean;
   /** Calls `handle` when the caller has room for more, at once if it has. */
   whenWritable(handle: () => void): void;
   /** Ends a complete answer. */
@@ -120,9 +128,6 @@
   fail(end: RequestEnd): void;
 }
 
-/** Limit on a stream that is kept until it is complete, in bytes. */
-const MAX_KEPT_BYTES = 8 * 1024 * 1024;
-
 /** A stream to a caller that cannot read chunks, kept until its length is known. */
 interface KeptStream {
   readonly head: AnswerHeadLine;
@@ -134,9 +139,15 @@
  *
  * @param response - Node's response
  * @param isDraining - returns whether the process is draining, so that the connection is closed after the answer
+ * @param memory - memory for what is held of the answer; closed with the response
  * @returns the answer, of which nothing has been sent
  */
-export function createCallerAnswer(response: ServerResponse, isDraining: () => boolean): CallerAnswer {
+export function createCallerAnswer(
+  response: ServerResponse,
+  isDraining: () => boolean,
+  memory: AnswerAccount,
+): CallerAnswer {
+  response.once('close', memory.close.bind(memory));
   let kept: KeptStream | undefined;
   let waiting: (() => void)[] = [];
   response.on('drain', () => {
@@ -170,12 +181,13 @@
         response.write(bytes);
         return;
       }
-      kept.body.add(bytes);
-      if (kept.body.length() > MAX_KEPT_BYTES) {
-        kept.body.reset(Buffer.alloc(0));
+      if (kept.body.length() + bytes.length <= MAX_ANSWER_BYTES && memory.tryTake(bytes.length)) {
+        kept.body.add(bytes);
+      } else {
         response.destroy();
       }
     },
+    tryHold: memory.tryTake.bind(memory),
     whenWritable: (handle) => {
       if (response.writableNeedDrain) {
         waiting.push(handle);
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -15,6 +15,7 @@
 import { forwardRequest, type ForwardResult } from './forward.js';
 import { answerLogFields } from './log-fields.js';
 import { admitRequest } from './admission.js';
+import { createAnswerMemory } from './answer-memory.js';
 import { createBodyReader } from './body-reader.js';
 import { endToEndHeaders } from './headers.js';
 import { isOverloaded } from './overload.js';
@@ -81,6 +82,7 @@
   readonly #context: ForwardingContext;
   readonly #inboxes = new Set<Channel<ForwardMessage>>();
   readonly #bodies = createBodyReader();
+  readonly #memory = createAnswerMemory();
 
   constructor(context: ForwardingContext) {
     this.#context = context;
@@ -100,7 +102,8 @@
     whenEarlierEnded: Promise<void>,
     isLast: () => boolean,
   ): Promise<void> {
-    const answer = createCallerAnswer(response, () => this.#context.isDraining() && isLast());
+    const isClosing = (): boolean => this.#context.isDraining() && isLast();
+    const answer = createCallerAnswer(response, isClosing, this.#memory.open());
     try {
       await this.#read(message, response, answer, whenEarlierEnded);
     } catch (error) {
--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -57,6 +57,7 @@
     headers,
     body,
     requestId: head.requestId,
+    form: request.route.form,
     connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, timeLeftMs),
     clock,
     dialect,
--- a/packages/forwarding/test/endless.test.ts
+++ b/packages/forwarding/test/endless.test.ts
@@ -59,6 +59,10 @@
     (request) => answerTo(request, '', { status: 503, headers: ['not-run: 1'], isFramed: false }),
     'copper ',
   ),
+  'a body in chunks of one byte': writesEndlessly(
+    (request) => `${head(request, 'signature: vane-1', 'transfer-encoding: chunked')}\r\n`,
+    chunk('c'),
+  ),
   'lines of a stream without an end of the event': writesEndlessly(
     (request) => `${head(request, 'signature: vane-1')}\r\n`,
     'data: copper\n',
--- a/packages/forwarding/test/slow-caller.test.ts
+++ b/packages/forwarding/test/slow-caller.test.ts
@@ -7,8 +7,15 @@
 import { connect, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { createManualClock } from '@toucanbend/core';
+import { DecisionKind } from '@toucanbend/observability';
 import { paths, startTestGateway } from './support/gateway.js';
-import { type ReceivedRequest, type Script, startScriptedServer } from './support/scripted-server.js';
+import {
+  answerTo,
+  callAs,
+  type ReceivedRequest,
+  type Script,
+  startScriptedServer,
+} from './support/scripted-server.js';
 
 const open: { close(): void }[] = [];
 
@@ -111,3 +118,44 @@
     assert.ok(received.endsWith('\r\n0\r\n\r\n'), 'the answer is complete');
   });
 });
+
+const CALLERS = 9;
+const WHOLE_BYTES = 7 * 1024 * 1024;
+
+describe('callers that do not read their whole answers', () => {
+  it('leave room for the short answers of others, and for long ones when they have gone', async () => {
+    const script: Script = (socket, request) => {
+      const body = request.body === 'short' ? 'copper vane' : 'v'.repeat(WHOLE_BYTES);
+      socket.end(answerTo(request, body));
+    };
+    const servers = await Promise.all([1, 2, 3].map(() => startScriptedServer(script)));
+    const gateway = await startTestGateway(servers.map(({ port }) => port));
+    open.push(gateway, ...servers);
+    const callers = Array.from({ length: CALLERS }, (_, index) => {
+      const caller = connect(gateway.port, '127.0.0.1');
+      open.push({ close: () => caller.destroy() });
+      caller.on('error', () => undefined);
+      const id = `request-id: r${String(index)}`;
+      const head = [`POST ${paths.once} HTTP/1.1`, 'host: vanes.example', 'key: key-1', id];
+      caller.write([...head, 'content-length: 0', '', ''].join('\r\n'));
+      return caller;
+    });
+    const ends = (): unknown[] =>
+      gateway.decisions
+        .filter(({ decision }) => decision === DecisionKind.Answer)
+        .map(({ fields }) => fields.reason);
+    while (ends().length < CALLERS) {
+      await nextTurn();
+    }
+    const failed = ends().filter((reason) => reason !== 'answered').length;
+    assert.ok(failed > 0 && failed < CALLERS, `${String(failed)} of the long answers found no room`);
+    const short = await callAs({ port: gateway.port, path: paths.once, body: 'short' }).result;
+    assert.deepEqual([short.status, short.body], [200, 'copper vane']);
+    callers.forEach((caller) => caller.destroy());
+    while (gateway.callerPort.inFlight() > 0) {
+      await nextTurn();
+    }
+    const long = await callAs({ port: gateway.port, path: paths.once }).result;
+    assert.deepEqual([long.status, long.body.length], [200, WHOLE_BYTES]);
+  });
+});
