The product's own clients: bound tokens, watches and lists, and copy short pieces

A model engine could send tokens without end, a watch of the key-value service a line without end, the platform a host list without end; bodies of services, of the store and of callers were kept as lists of pieces.

--- a/packages/engine/src/http-engine.ts
+++ b/packages/engine/src/http-engine.ts
@@ -122,7 +122,7 @@
         end({ kind: CompletionEndKind.Refused, message: `status ${String(answer.statusCode)}` });
         return;
       }
-      readStream(answer, {
+      readStream(answer, completion.maxTokens, {
         onTokens: (tokens) => {
           if (!ended) {
             sink.onTokens(tokens);
@@ -131,6 +131,8 @@
         onEnd: end,
         onLengthExceeded: () =>
           call.destroy(new Error('the stream exceeds the maximum length without a token')),
+        onTokensExceeded: () =>
+          call.destroy(new Error(`the stream has more than ${String(completion.maxTokens)} tokens`)),
       });
     });
     call.on('error', (error: NodeJS.ErrnoException) => {
@@ -206,11 +208,14 @@
 interface StreamSink extends CompletionSink {
   /** Called for each read by which the text without a token exceeds `MAX_LENGTH_WITHOUT_TOKEN`. */
   readonly onLengthExceeded: () => void;
+  /** Called when there are more tokens than were asked for. */
+  readonly onTokensExceeded: () => void;
 }
 
-function readStream(answer: IncomingMessage, sink: StreamSink): void {
+function readStream(answer: IncomingMessage, maxTokens: number, sink: StreamSink): void {
   const reader = createStreamReader();
   let lengthWithoutToken = 0;
+  let tokenCount = 0;
   answer.setEncoding('utf8');
   answer.on('data', (text: string) => {
     const { tokens, isOver } = reader.push(text);
@@ -218,6 +223,11 @@
     if (lengthWithoutToken > MAX_LENGTH_WITHOUT_TOKEN) {
       sink.onLengthExceeded();
     }
+    tokenCount += tokens.length;
+    if (tokenCount > maxTokens) {
+      sink.onTokensExceeded();
+      return;
+    }
     if (tokens.length > 0) {
       sink.onTokens(tokens);
     }
--- a/packages/engine/test/endless.test.ts
+++ b/packages/engine/test/endless.test.ts
@@ -22,7 +22,11 @@
 }
 
 /** Starts an engine that responds with the status and the given first data, and then repeats a text endlessly. */
-async function startEndless(status: number, firstData: string): Promise<EndlessEngine> {
+async function startEndless(
+  status: number,
+  firstData: string,
+  piece = 'copper vane ',
+): Promise<EndlessEngine> {
   let resolveClosed = (): void => undefined;
   const closed = new Promise<void>((resolve) => {
     resolveClosed = resolve;
@@ -31,7 +35,7 @@
     response.writeHead(status, { 'content-type': 'text/event-stream' });
     response.write(firstData);
     response.on('close', resolveClosed);
-    writeForever(response, 'copper vane ');
+    writeForever(response, piece);
   });
   servers.push(server);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -60,6 +64,16 @@
     await closed;
   });
 
+  it(
+    'fails a completion whose stream carries more tokens than were asked for',
+    { timeout: TIMEOUT_MS },
+    async () => {
+      const { engine, closed } = await startEndless(200, '', 'data: {"choices":[{"text":"vane"}]}\n\n');
+      assert.equal(await complete(engine), CompletionEndKind.Failed);
+      await closed;
+    },
+  );
+
   it('has its connection closed after the end of a completion', { timeout: TIMEOUT_MS }, async () => {
     const { engine, closed } = await startEndless(200, 'data: [DONE]\n\n');
     assert.equal(await complete(engine), CompletionEndKind.Finished);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { createAdministrationHandler } from '@toucanbend/administration';
 import { createChannel, startProcess } from '@toucanbend/channel';
-import { type Clock, Outcome, Reason } from '@toucanbend/core';
+import { type Clock, createByteBuffer, Outcome, Reason } from '@toucanbend/core';
 import { createConfigurationClient } from '@toucanbend/operator';
 import { createNode, type Node } from '@toucanbend/node';
 import { DecisionKind } from '@toucanbend/observability';
@@ -70,16 +70,16 @@
  */
 function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const received = createByteBuffer();
     let length = 0;
     request.on('data', (chunk: Buffer) => {
       length += chunk.length;
       if (length <= limitBytes) {
-        chunks.push(chunk);
+        received.add(chunk);
       }
     });
     request.on('end', () => {
-      resolve(length <= limitBytes ? Buffer.concat(chunks) : undefined);
+      resolve(length <= limitBytes ? received.bytes() : undefined);
     });
     request.on('close', () => {
       resolve(undefined);
--- a/packages/hosts/src/host-list.ts
+++ b/packages/hosts/src/host-list.ts
@@ -1,6 +1,6 @@
 /** Polls the platform's host list of live and leaving hosts; the list lags behind the hosts' actual state. */
 import { get } from 'node:http';
-import { type CancelTimer, type Clock } from '@toucanbend/core';
+import { type CancelTimer, type Clock, createByteBuffer } from '@toucanbend/core';
 import { z } from 'zod';
 
 /** State of a host in the list. */
@@ -32,17 +32,25 @@
   stop(): void;
 }
 
+/** Limit on the list in bytes: a thousand times the length of the record of one host. */
+const MAX_LIST_BYTES = 1024 * 1024;
+
 function fetchList(url: URL, timeoutMs: number): Promise<readonly Host[] | undefined> {
   return new Promise((resolve) => {
     const request = get(url, { timeout: timeoutMs }, (answer) => {
-      let text = '';
-      answer.setEncoding('utf8');
-      answer.on('data', (chunk: string) => (text += chunk));
+      const received = createByteBuffer();
+      answer.on('data', (chunk: Buffer) => {
+        if (received.length() + chunk.length > MAX_LIST_BYTES) {
+          request.destroy();
+        } else {
+          received.add(chunk);
+        }
+      });
       answer.on('error', () => {
         resolve(undefined);
       });
       answer.on('end', () => {
-        resolve(parseList(text));
+        resolve(parseList(received.bytes().toString()));
       });
     });
     request.on('timeout', () => request.destroy());
--- a/packages/service/src/http-service.ts
+++ b/packages/service/src/http-service.ts
@@ -1,6 +1,6 @@
 /** Client of plain services over HTTP. */
 import { request } from 'node:http';
-import { type ServiceCall } from '@toucanbend/core';
+import { createByteBuffer, type ServiceCall } from '@toucanbend/core';
 import { err, ok, type Result } from 'neverthrow';
 import {
   type PendingCall,
@@ -38,13 +38,12 @@
     const answer = new Promise<Result<ServiceAnswer, ServiceError>>((resolve) => {
       const url = new URL(call.path, this.#base);
       const pending = request(url, { method: call.method, headers, agent: false }, (response) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const received = createByteBuffer();
         response.on('data', (chunk: Buffer) => {
-          length += chunk.length;
-          chunks.push(chunk);
-          if (length > MAX_RESPONSE_BYTES) {
+          if (received.length() + chunk.length > MAX_RESPONSE_BYTES) {
             pending.destroy(new Error('the response body exceeds the maximum length'));
+          } else {
+            received.add(chunk);
           }
         });
         response.on('error', (error) => {
@@ -52,7 +51,7 @@
         });
         response.on('end', () => {
           const contentType = response.headers['content-type'] ?? 'application/octet-stream';
-          resolve(ok({ status: response.statusCode ?? 0, contentType, body: Buffer.concat(chunks) }));
+          resolve(ok({ status: response.statusCode ?? 0, contentType, body: received.bytes() }));
         });
       });
       pending.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -1,6 +1,6 @@
 /** Client of the key-value service's HTTP gateway: range, txn and watch, with keys and values in base64. */
 import { Agent, request } from 'node:http';
-import { type Clock } from '@toucanbend/core';
+import { type Clock, createByteBuffer } from '@toucanbend/core';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 import {
@@ -91,6 +91,9 @@
           const lines = text.split('\n');
           text = lines.pop() ?? '';
           lines.flatMap(watchedValues).forEach(handle);
+          if (text.length > MAX_RESPONSE_BYTES) {
+            call.destroy();
+          }
         });
       });
       call.on('error', () => undefined);
@@ -114,17 +117,16 @@
   #call(path: string, body: object, timeoutMs: number): Promise<Result<unknown, StoreError>> {
     return new Promise((resolve) => {
       const call = request(new URL(path, this.#base), { method: 'POST', agent: this.#agent }, (response) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const received = createByteBuffer();
         response.on('data', (chunk: Buffer) => {
-          length += chunk.length;
-          chunks.push(chunk);
-          if (length > MAX_RESPONSE_BYTES) {
+          if (received.length() + chunk.length > MAX_RESPONSE_BYTES) {
             call.destroy();
+          } else {
+            received.add(chunk);
           }
         });
         response.on('end', () => {
-          finish(parseResponse(response.statusCode ?? 0, Buffer.concat(chunks).toString()));
+          finish(parseResponse(response.statusCode ?? 0, received.bytes().toString()));
         });
         response.on('error', () => {
           finish(
