LOST: free the connections of callers that leave, stop or err inside a body

Cause: the listener of clientError left a connection open until its requests were answered, also a request whose body could not arrive completely any more, and requests that were cancelled since the caller had left.

Change: a connection that ends inside a request is closed once the answers that are complete have been delivered. A body that is broken or stops ends its request: 400 for bytes that are no body, 503 when the time that the caller waits has passed, 60 s at most.

--- a/packages/forwarding/src/body-reader.ts
+++ b/packages/forwarding/src/body-reader.ts
@@ -1,6 +1,6 @@
 /** Reads the bodies of callers' requests. */
 import { type IncomingMessage } from 'node:http';
-import { createByteBuffer } from '@toucanbend/core';
+import { type Clock, createByteBuffer } from '@toucanbend/core';
 import { EndReason } from './caller-answer.js';
 
 /** Reads the bodies of callers' requests. */
@@ -10,9 +10,13 @@
    *
    * @param request - the request
    * @param limitBytes - limit on the length of the body
-   * @returns the body, or why it was not read: `BodyTooLong`, `CallerGone` if the connection closed early, or `Leaving`
+   * @param timeoutMs - time within which it must have arrived, in milliseconds
+   * @returns the body, or why it was not read: `BodyTooLong`, `CallerGone` if the connection closed early, `DeadlinePassed`,
+   *   `Leaving`, or the reason of {@link BodyReader.fail}
    */
-  read(request: IncomingMessage, limitBytes: number): Promise<Buffer | EndReason>;
+  read(request: IncomingMessage, limitBytes: number, timeoutMs: number): Promise<Buffer | EndReason>;
+  /** Ends the reading of a body that cannot arrive completely; no effect if it has been read. */
+  fail(request: IncomingMessage, reason: EndReason): void;
   /** Ends the reading of all bodies that have not arrived completely, with `Leaving`. */
   abandon(): void;
 }
@@ -20,27 +24,32 @@
 /**
  * Creates a reader of bodies.
  *
+ * @param clock - measures the time that bodies take
  * @returns the reader
  */
-export function createBodyReader(): BodyReader {
-  const unfinished = new Set<() => void>();
+export function createBodyReader(clock: Clock): BodyReader {
+  const unfinished = new Map<IncomingMessage, (reason: EndReason) => void>();
   return {
     abandon: () => {
       unfinished.forEach((end) => {
-        end();
+        end(EndReason.Leaving);
       });
     },
-    read: (request, limitBytes) =>
+    fail: (request, reason) => {
+      unfinished.get(request)?.(reason);
+    },
+    read: (request, limitBytes, timeoutMs) =>
       new Promise((resolve) => {
         const received = createByteBuffer();
         const end = (body: Buffer | EndReason): void => {
-          unfinished.delete(endLeaving);
+          cancelTimer();
+          unfinished.delete(request);
           resolve(body);
         };
-        const endLeaving = (): void => {
-          end(EndReason.Leaving);
-        };
-        unfinished.add(endLeaving);
+        const cancelTimer = clock.after(timeoutMs, () => {
+          end(EndReason.DeadlinePassed);
+        });
+        unfinished.set(request, end);
         request.on('data', (chunk: Buffer) => {
           if (received.length() + chunk.length > limitBytes) {
             end(EndReason.BodyTooLong);
--- a/packages/forwarding/src/caller-connections.ts
+++ b/packages/forwarding/src/caller-connections.ts
@@ -21,6 +21,8 @@
   received(message: IncomingMessage, response: ServerResponse): Promise<void>;
   /** Closes a connection when the requests on it are answered. Returns false if there are none. */
   closeAfterAnswers(socket: Socket): boolean;
+  /** Returns the last request on a connection if its body has not arrived completely. */
+  lastUnread(socket: Socket): IncomingMessage | undefined;
   /** Returns whether a request is the last one that has been received on its connection. */
   isLast(message: IncomingMessage): boolean;
   /** Returns the number of requests whose heads have been read and whose answers have not been sent completely. */
@@ -106,6 +108,10 @@
       void ends.get(socket)?.then(() => socket.destroy());
       return true;
     },
+    lastUnread: (socket) => {
+      const message = last.get(socket);
+      return message?.complete === false ? message : undefined;
+    },
     isLast: (message) => last.get(message.socket) === message,
     requestCount: () => requests,
     busyCount: () => [...uses].filter(([socket, use]) => !isIdle(socket, use)).length,
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -76,16 +76,19 @@
 };
 
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Longest time that a body may take, in milliseconds, if the caller does not state that it waits less long. */
+const MAX_BODY_TIME_MS = 60_000;
 
 /** Reads requests and starts their processes. */
 class RequestReader {
   readonly #context: ForwardingContext;
   readonly #inboxes = new Set<Channel<ForwardMessage>>();
-  readonly #bodies = createBodyReader();
+  readonly #bodies;
   readonly #memory = createAnswerMemory();
 
   constructor(context: ForwardingContext) {
     this.#context = context;
+    this.#bodies = createBodyReader(context.clock);
   }
 
   startDraining(): void {
@@ -96,6 +99,11 @@
     });
   }
 
+  /** Ends a request whose body cannot arrive completely, so that it gets an answer and its connection is closed. */
+  failBody(message: IncomingMessage, reason: EndReason): void {
+    this.#bodies.fail(message, reason);
+  }
+
   async handle(
     message: IncomingMessage,
     response: ServerResponse,
@@ -123,7 +131,12 @@
     response.on('error', () => undefined);
     message.on('error', () => undefined);
     const limits = this.#context.registry().catalogue?.limits;
-    const body = await this.#bodies.read(message, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+    const bodyTimeoutMs = Math.min(MAX_BODY_TIME_MS, head.callerTimeoutMs ?? MAX_BODY_TIME_MS);
+    const body = await this.#bodies.read(
+      message,
+      limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      bodyTimeoutMs,
+    );
     if (typeof body === 'string') {
       this.#reject(head, answer, body);
       response.once('finish', () => message.destroy());
@@ -258,12 +271,21 @@
   }
 }
 
+/** Error of Node's parser if a connection ends inside a request. */
+const INCOMPLETE_INPUT = 'HPE_INVALID_EOF_STATE';
+const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/** Returns the reason for the end of a request whose body cannot be read. */
+function reasonOfClientError({ code }: NodeJS.ErrnoException): EndReason {
+  return code === REQUEST_TIMEOUT ? EndReason.DeadlinePassed : EndReason.BadRequest;
+}
+
 /** Returns the status line of the answer to input that is no valid request, as Node's own server determines it. */
 function statusOfClientError({ code }: NodeJS.ErrnoException): string {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
       return '431 Request Header Fields Too Large';
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
+    case REQUEST_TIMEOUT:
       return '408 Request Timeout';
     default:
       return '400 Bad Request';
@@ -306,6 +328,15 @@
   });
   // Without this listener, Node puts its error in the place of the answer to a request in flight.
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (error.code === INCOMPLETE_INPUT) {
+      // The caller has left. Answers that are complete are still delivered; others are cancelled by the end of its input.
+      socket.end();
+      return;
+    }
+    const unread = connections.lastUnread(socket);
+    if (unread !== undefined) {
+      reader.failBody(unread, reasonOfClientError(error));
+    }
     if (!connections.closeAfterAnswers(socket)) {
       const status = statusOfClientError(error);
       if (socket.writable) {
