Operator port: a request that cannot be answered ends alone

Such an id is answered with 400; any other failure of an answer closes its connection and is logged. Both cases of operator-port.test were red before.

--- a/packages/observability/src/operator-port.ts
+++ b/packages/observability/src/operator-port.ts
@@ -21,10 +21,23 @@
   response.end(`${JSON.stringify(value)}\n`);
 }
 
+function decodePath(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
 async function answer(path: string, options: OperatorPortOptions, response: ServerResponse): Promise<void> {
   const explainedRequest = /^\/explain\/(.+)$/.exec(path)?.[1];
   if (explainedRequest !== undefined) {
-    sendJson(response, 200, options.logger.explain(decodeURIComponent(explainedRequest)));
+    const requestId = decodePath(explainedRequest);
+    if (requestId === undefined) {
+      sendJson(response, 400, { error: `${explainedRequest} is not percent-encoded UTF-8` });
+    } else {
+      sendJson(response, 200, options.logger.explain(requestId));
+    }
     return;
   }
   switch (path) {
@@ -55,7 +68,10 @@
 export function openOperatorPort(options: OperatorPortOptions): Promise<Server> {
   const server = createServer((request, response) => {
     if (options.administer?.(request, response) !== true) {
-      void answer(request.url ?? '/', options, response);
+      answer(request.url ?? '/', options, response).catch((error: unknown) => {
+        options.logger.error('operator request failed', { path: request.url ?? '/', error: String(error) });
+        response.destroy();
+      });
     }
   });
   return new Promise((resolve, reject) => {
