Streams: a field for reconnection is no event; callers that are gone are logged as gone

Read again: a block that only sets how long callers wait before they connect again was taken for an event without an id, and a connection that is reset inside a body for a bad request.

--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -273,11 +273,15 @@
 
 /** Error of Node's parser if a connection ends inside a request. */
 const INCOMPLETE_INPUT = 'HPE_INVALID_EOF_STATE';
+const PARSER_ERROR_PREFIX = 'HPE_';
 const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** Returns the reason for the end of a request whose body cannot be read. */
 function reasonOfClientError({ code }: NodeJS.ErrnoException): EndReason {
-  return code === REQUEST_TIMEOUT ? EndReason.DeadlinePassed : EndReason.BadRequest;
+  if (code === REQUEST_TIMEOUT) {
+    return EndReason.DeadlinePassed;
+  }
+  return code?.startsWith(PARSER_ERROR_PREFIX) === true ? EndReason.BadRequest : EndReason.CallerGone;
 }
 
 /** Returns the status line of the answer to input that is no valid request, as Node's own server determines it. */
--- a/packages/forwarding/src/event-splitter.ts
+++ b/packages/forwarding/src/event-splitter.ts
@@ -28,7 +28,9 @@
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
 const ID_LINE = /^id:[ \t]*(\d{1,15})[ \t]*$/m;
-const COMMENT_LINE = /^(?::.*)?\r?$/;
+const LETTER_R = 0x72;
+/** A comment, an empty line, or the field that sets how long callers wait before they connect again. */
+const COMMENT_LINE = /^(?::.*|retry:[ \t]*\d+)?\r?$/;
 
 /** Number of buffered bytes that may belong to a delimiter that the next chunk completes. */
 const DELIMITER_OVERLAP = 3;
@@ -50,7 +52,8 @@
 function readEvent(bytes: Buffer): StreamEvent {
   const text = bytes.toString('latin1');
   const [first] = bytes;
-  const mayBeComment = first === COLON || first === LINE_FEED || first === CARRIAGE_RETURN;
+  const mayBeComment =
+    first === COLON || first === LINE_FEED || first === CARRIAGE_RETURN || first === LETTER_R;
   if (mayBeComment && text.split('\n').every((line) => COMMENT_LINE.test(line))) {
     return { bytes, id: undefined, isComment: true };
   }
--- a/packages/forwarding/test/slow-caller.test.ts
+++ b/packages/forwarding/test/slow-caller.test.ts
@@ -37,6 +37,24 @@
   return `${start}${'v'.repeat(EVENT_BYTES - start.length - 2)}\n\n`;
 }
 
+/** How a server marks the end of its stream. */
+interface Framing {
+  readonly headers: readonly string[];
+  readonly wrap: (event: string) => string;
+  readonly end: string;
+}
+
+const asItIs = (event: string): string => event;
+const framings: Readonly<Record<string, Framing>> = {
+  'a length': { headers: [`content-length: ${String(EVENTS * EVENT_BYTES)}`], wrap: asItIs, end: '' },
+  chunks: {
+    headers: ['transfer-encoding: chunked'],
+    wrap: (event) => `${event.length.toString(16)}\r\n${event}\r\n`,
+    end: '0\r\n\r\n',
+  },
+  'the end of its connection': { headers: [], wrap: asItIs, end: '' },
+};
+
 interface LongStream {
   readonly script: Script;
   /** Number of bytes that the connection has accepted. */
@@ -44,21 +62,20 @@
 }
 
 /** Sends a stream of many events as fast as its connection accepts them. */
-function createLongStream(): LongStream {
+function createLongStream({ headers, wrap, end }: Framing): LongStream {
   let connection: Socket | undefined;
   const script = (socket: Socket, request: ReceivedRequest): void => {
     connection = socket;
     const lines = ['HTTP/1.1 200 OK', `request-id: ${request.headers.get('request-id') ?? ''}`];
-    lines.push('signature: vane-1', `content-length: ${String(EVENTS * EVENT_BYTES)}`);
-    socket.write([...lines, '', ''].join('\r\n'));
+    socket.write([...lines, 'signature: vane-1', ...headers, '', ''].join('\r\n'));
     let next = 1;
     const write = (): void => {
       while (next <= EVENTS && !socket.writableNeedDrain) {
-        socket.write(eventText(next));
+        socket.write(wrap(eventText(next)));
         next += 1;
       }
       if (next > EVENTS) {
-        socket.end();
+        socket.end(end);
       } else {
         socket.once('drain', write);
       }
@@ -85,38 +102,40 @@
 }
 
 describe('a caller that does not read its stream', () => {
-  it('holds back the server, without a second attempt, and gets the whole stream when it reads', async () => {
-    const clock = createManualClock();
-    const stream = createLongStream();
-    const servers = await Promise.all([
-      startScriptedServer(stream.script),
-      startScriptedServer(stream.script),
-    ]);
-    const gateway = await startTestGateway(
-      servers.map(({ port }) => port),
-      { clock },
-    );
-    const caller = connect(gateway.port, '127.0.0.1');
-    open.push(gateway, ...servers, { close: () => caller.destroy() });
-    const head = [`POST ${paths.stream} HTTP/1.1`, 'host: vanes.example', 'key: key-1', 'request-id: r1'];
-    caller.write([...head, 'connection: close', 'content-length: 0', '', ''].join('\r\n'));
-    await untilBlocked(stream);
-    assert.ok(stream.sentBytes() < MAX_HELD_BYTES, `${String(stream.sentBytes())} bytes were accepted`);
-    clock.advance(2_000);
-    await untilBlocked(stream);
-    assert.equal(servers.flatMap(({ received }) => received).length, 1);
-    let received = '';
-    caller.on('data', (chunk: Buffer) => {
-      received += chunk.toString('latin1');
+  for (const [name, framing] of Object.entries(framings)) {
+    it(`holds back the server, without a second attempt, and gets the whole stream when it reads (${name})`, async () => {
+      const clock = createManualClock();
+      const stream = createLongStream(framing);
+      const servers = await Promise.all([
+        startScriptedServer(stream.script),
+        startScriptedServer(stream.script),
+      ]);
+      const gateway = await startTestGateway(
+        servers.map(({ port }) => port),
+        { clock },
+      );
+      const caller = connect(gateway.port, '127.0.0.1');
+      open.push(gateway, ...servers, { close: () => caller.destroy() });
+      const head = [`POST ${paths.stream} HTTP/1.1`, 'host: vanes.example', 'key: key-1', 'request-id: r1'];
+      caller.write([...head, 'connection: close', 'content-length: 0', '', ''].join('\r\n'));
+      await untilBlocked(stream);
+      assert.ok(stream.sentBytes() < MAX_HELD_BYTES, `${String(stream.sentBytes())} bytes were accepted`);
+      clock.advance(2_000);
+      await untilBlocked(stream);
+      assert.equal(servers.flatMap(({ received }) => received).length, 1);
+      let received = '';
+      caller.on('data', (chunk: Buffer) => {
+        received += chunk.toString('latin1');
+      });
+      await once(caller, 'end');
+      const ids = [...received.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+      assert.deepEqual(
+        ids,
+        Array.from({ length: EVENTS }, (_, index) => index + 1),
+      );
+      assert.ok(received.endsWith('\r\n0\r\n\r\n'), 'the answer is complete');
     });
-    await once(caller, 'end');
-    const ids = [...received.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-    assert.deepEqual(
-      ids,
-      Array.from({ length: EVENTS }, (_, index) => index + 1),
-    );
-    assert.ok(received.endsWith('\r\n0\r\n\r\n'), 'the answer is complete');
-  });
+  }
 });
 
 const CALLERS = 9;
--- a/packages/forwarding/test/stream-check.test.ts
+++ b/packages/forwarding/test/stream-check.test.ts
@@ -30,6 +30,7 @@
     'lines of data after the id': 'id: 1\ndata: copper\ndata: vane\n\n',
     'an event without data': 'id: 1\n\nid: 2\n\n',
     'comments between events': `: sound\n\n${event(1)}:\n\n${event(2)}:\n\n`,
+    'a field that is no event before the first one': `retry: 3000\n\n${event(1)}`,
     'empty lines between events': `${event(1)}\n\n${event(2)}`,
   };
   for (const [name, text] of Object.entries(sound)) {
@@ -44,6 +45,7 @@
     'an id that is no number': event('vane'),
     'an id on the next line': 'id:\n7\ndata: copper\n\n',
     'an id beyond exact numbers': event('9'.repeat(16)),
+    'a block of another field': 'retry: soon\n\n',
     'a repeated id': event(1),
     'an earlier id': event(0),
   };
