--- a/packages/quarantine/test/repeated-part.test.ts
+++ b/packages/quarantine/test/repeated-part.test.ts
@@ -168,6 +168,19 @@
     );
   });
 
+  it('is blamed before a part of sound prompts beside it that accounts for no more crashes', () => {
+    const play = startPlay();
+    for (let crash = 1; crash <= 3; crash += 1) {
+      play.lose(`sound ${String(crash)}`, ['rare'], crash, crash * CRASH_INTERVAL_MS);
+      play.lose('crashing', [], crash, crash * CRASH_INTERVAL_MS);
+    }
+    play.decide();
+    assert.deepEqual(
+      play.found.map(({ id }) => id),
+      ['crashing'],
+    );
+  });
+
   it('does not bring a part into quarantine of which sound prompts are lost in its crashes', () => {
     const play = startPlay();
     for (let crash = 1; crash <= 5; crash += 1) {
