A node that cannot start ends with an error

A node of the product whose port for callers was occupied stayed without serving: what had started before kept the process from ending, as the error only set the exit code. Found by test/path, which did not end in two of three runs of all tests: its second entry, started again, answered at its operator port and never said that it was ready.

The error now ends the process when it has been written. occupied-port.test: red before, 'test timed out after 20000ms'.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,7 @@
 void createProgram()
   .parseAsync(process.argv)
   .catch((error: unknown) => {
-    process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-    process.exitCode = 1;
+    const message = error instanceof Error ? error.message : String(error);
+    // A role that could not start may have opened ports, which would keep the process from ending.
+    process.stderr.write(`${message}\n`, () => process.exit(1));
   });
