Entries: a started process reads its configuration before it opens links

Change: links are opened when a configuration is known, at the first failed call to the store, or after 400 ms. A line `listening` with the age of the process says when connections of callers are accepted.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -94,6 +94,9 @@
 /** Minimum share of the other entries that must be linked for their load updates to be a basis for placement. */
 const MIN_LINKED_SHARE = 0.5;
 const PRUNE_INTERVAL_MS = 1_000;
+/** Longest time for which the links to other entries wait for the configuration from the store, in milliseconds. */
+const MAX_LINK_DELAY_MS = 400;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
  * Starts a gateway.
@@ -262,6 +265,13 @@
   const registrar = createRegistrar({ member, source, clock, random, logger, storeHealth });
   storeHealth.onUnreachable(peers.announceToAll.bind(peers));
   storeHealth.onReachable(peers.announceToAll.bind(peers));
+  // Handshakes with all other entries would delay the first configuration, for which requests may be waiting.
+  const readyForLinks = Promise.race([
+    context.waitForConfiguration(MAX_LINK_DELAY_MS),
+    new Promise<void>((resolve) => {
+      storeHealth.onUnreachable(resolve);
+    }),
+  ]);
   // The first listing of the store runs while the ports are opened.
   follower.start();
   registerGatewayMetrics(metricsRegistry, {
@@ -280,6 +290,8 @@
   });
   await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
   await port.listen(options.callers.host, options.callers.port);
+  logger.info('listening', { processAgeMs: Math.round(process.uptime() * MILLISECONDS_PER_SECOND) });
+  await readyForLinks;
   await peers.start();
   registrar.start();
   const prune = (): void => {
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -34,6 +34,7 @@
   NodeRole,
   parseAddress,
 } from '@toucanbend/wire';
+import { planDials } from './dial-plan.js';
 import { applyUpdate, encodeState, type UpdateHandlers } from './peer-updates.js';
 import { type RegistryHolder } from './registry-holder.js';
 
@@ -128,6 +129,8 @@
   #isStopped = false;
   #isAnnouncePending = false;
   #isPullPending = false;
+  /** Addresses that are to be dialled soon. */
+  readonly #plannedDials = new Set<string>();
   #cancelDial = (): void => undefined;
 
   constructor(options: PeersOptions) {
@@ -306,13 +309,24 @@
   }
 
   #dialMissing(): void {
-    const { holder, member, seeds } = this.#options;
+    const { holder, member, seeds, clock, random } = this.#options;
     const registered = listEntries(holder.current()).map((entry) => entry.address);
     const addresses = new Set([...registered, ...seeds]);
     addresses.delete(member.address);
-    for (const address of addresses) {
-      if (this.#pool.find(address) === undefined) {
+    const missing = [...addresses].filter(
+      (address) => !this.#plannedDials.has(address) && this.#pool.find(address) === undefined,
+    );
+    for (const { address, delayMs } of planDials(missing, DIAL_INTERVAL_MS, random)) {
+      if (delayMs === 0) {
         void this.#pool.get(address);
+      } else {
+        this.#plannedDials.add(address);
+        clock.after(delayMs, () => {
+          this.#plannedDials.delete(address);
+          if (!this.#isStopped) {
+            void this.#pool.get(address);
+          }
+        });
       }
     }
   }
