Entries: late requests of a stopping entry are judged by their longest answer

Cause: the entry's estimate of an answer's length is right at the median only.

Change: a request that arrives after the load balancer has noticed the stop is sent if its longest answer is expected to take at most 0.8 of the time left.

--- a/packages/forwarding/src/drain-limit.ts
+++ b/packages/forwarding/src/drain-limit.ts
@@ -38,7 +38,7 @@
  * Share of the time until this process abandons its requests that a request may be expected to take if it arrived after the
  * load balancer had noticed the stop. Its answer must not be broken off, and an expectation may be exceeded.
  */
-const LATE_REQUEST_SHARE = 0.5;
+const LATE_REQUEST_SHARE = 0.8;
 
 /**
  * Determines when the answer to a request must be expected to end for the request to be sent.
@@ -54,6 +54,20 @@
     : receivedAtMs + LATE_REQUEST_SHARE * (answersUntilMs - receivedAtMs);
 }
 
+/**
+ * Returns the job that decides whether a request is sent while this process drains.
+ *
+ * @param job - the job of the request
+ * @param maxAnswerTokens - length of the longest answer that the caller accepts, in tokens; undefined if there is no prompt
+ * @param isLate - whether the request arrived after the load balancer had noticed the stop
+ * @returns the job; with the longest answer if the request is late, since an estimate of the length is often exceeded
+ */
+export function drainJob(job: Job, maxAnswerTokens: number | undefined, isLate: boolean): Job {
+  return isLate && job.generation !== undefined && maxAnswerTokens !== undefined
+    ? { ...job, generation: { ...job.generation, answerTokens: maxAnswerTokens } }
+    : job;
+}
+
 /**
  * Decides whether a request is answered before this process ends if it is sent now.
  *
--- a/packages/forwarding/src/request-placement.ts
+++ b/packages/forwarding/src/request-placement.ts
@@ -4,7 +4,7 @@
 import { RecordKind, type Registry } from '@toucanbend/registry';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
-import { answerLimit, isAnsweredInTime } from './drain-limit.js';
+import { answerLimit, drainJob, isAnsweredInTime } from './drain-limit.js';
 import { isSoonEnough } from './failover.js';
 import { decisionLogFields } from './log-fields.js';
 import { plannerInputs } from './planner-inputs.js';
@@ -69,10 +69,11 @@
 
   isAnsweredInTime({ expectedMs }: SendDecision): boolean {
     const { answersUntilMs, outOfRotationAtMs, clock } = this.#context;
-    const { receivedAtMs, service } = this.#request;
-    const { engine } = service;
+    const { head, receivedAtMs, service } = this.#request;
     const limitMs = answerLimit(receivedAtMs, outOfRotationAtMs(), answersUntilMs());
-    return isAnsweredInTime(limitMs, this.job, engine, clock.now() + expectedMs);
+    const isLate = receivedAtMs >= outOfRotationAtMs();
+    const job = drainJob(this.job, head.prompt?.maxAnswerTokens, isLate);
+    return isAnsweredInTime(limitMs, job, service.engine, clock.now() + expectedMs);
   }
 
   /** Logs a placement decision; of consecutive decisions to wait, only the first is logged. */
