Entries: a stopping entry listens until its last request, and ends when idle

Cause: with the limit of two thirds of the grace period, an entry with a long stream in progress still ran for up to a third of it with a closed port.

Change: after two thirds of the grace period the entry ends when no request is in progress; until then, and at most until 1.5 s before its end, the port is open.

--- a/packages/gateway/src/listening-end.ts
+++ b/packages/gateway/src/listening-end.ts
@@ -16,8 +16,14 @@
  */
 const QUIET_MS = 700;
 
-/** Share of the grace period during which connections are accepted; the last requests are answered in the rest. */
-const ACCEPTING_SHARE = 2 / 3;
+/**
+ * Share of the grace period after which an entry that is still used ends as soon as it has no request in progress: from then
+ * on it has time for short answers only, and the next process has time for all.
+ */
+const SERVING_SHARE = 2 / 3;
+
+/** Time before the end of the grace period at which no more connections are accepted, in milliseconds. */
+const CLOSE_MARGIN_MS = 1_500;
 
 /** State of an entry that stops. */
 export interface StoppingEntry {
@@ -39,6 +45,7 @@
  */
 export function endsListening(entry: StoppingEntry): boolean {
   const { elapsedMs, graceMs, sinceConnectionMs, busyConnections } = entry;
-  const isUnused = busyConnections === 0 && sinceConnectionMs >= QUIET_MS;
-  return elapsedMs >= BALANCER_NOTICE_MS && (isUnused || elapsedMs >= ACCEPTING_SHARE * graceMs);
+  const isIdle = busyConnections === 0;
+  const mayEnd = sinceConnectionMs >= QUIET_MS || elapsedMs >= SERVING_SHARE * graceMs;
+  return elapsedMs >= BALANCER_NOTICE_MS && ((isIdle && mayEnd) || elapsedMs >= graceMs - CLOSE_MARGIN_MS);
 }
