--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -345,6 +345,9 @@
       attempt.watch.lost();
     }
     const failed = recordFailedServer(this.#context, server, helpers, fault);
+    if (failed.id !== server.id) {
+      this.#placement.avoidHelpers();
+    }
     this.#triedServers.delete(server.id);
     this.#triedServers.add(failed.id);
     this.#log(LogDecision.Retry, {
--- a/packages/forwarding/src/request-placement.ts
+++ b/packages/forwarding/src/request-placement.ts
@@ -23,6 +23,8 @@
    * @returns the decision, which is logged
    */
   plan(excluded: ReadonlySet<string>, mayWait: boolean): PlacementDecision;
+  /** Plans further attempts on one server where that meets the target, since a helper made an attempt fail. */
+  avoidHelpers(): void;
   /** Returns whether the whole answer is expected before this process ends. */
   isAnsweredInTime(decision: SendDecision): boolean;
   /**
@@ -39,7 +41,7 @@
 class LoggedPlacement implements RequestPlacement {
   readonly #context: ForwardingContext;
   readonly #request: CallerRequest;
-  readonly job: Job;
+  job: Job;
   #isWaiting = false;
 
   constructor(context: ForwardingContext, request: CallerRequest) {
@@ -67,6 +69,10 @@
     );
   }
 
+  avoidHelpers(): void {
+    this.job = { ...this.job, avoidsHelpers: true };
+  }
+
   isAnsweredInTime({ expectedMs }: SendDecision): boolean {
     const { answersUntilMs, outOfRotationAtMs, clock } = this.#context;
     const { head, receivedAtMs, service } = this.#request;
--- a/packages/forwarding/test/shared-prompt.test.ts
+++ b/packages/forwarding/test/shared-prompt.test.ts
@@ -22,6 +22,8 @@
 
 const ENGINE_COUNT = 4;
 const DEADLINE_MS = 15_000;
+/** A target that one engine meets for a prompt that it can hold, in milliseconds. */
+const LONG_TARGET_MS = 12_000;
 /** More tokens than the memory of one engine holds. */
 const PROMPT_TOKENS = 1.5 * smallEngine.memoryTokens;
 
@@ -109,4 +111,32 @@
     const retry = gateway.decisions.find((line) => line.decision === DecisionKind.Retry);
     assert.notEqual(retry?.fields.failed, retry?.fields.server);
   });
+
+  it('is sent again to one engine that meets the target, since further helpers may be leaving', async () => {
+    const script: Script = (socket, request) => {
+      const [helper = ''] = (request.headers.get('helpers') ?? '').split(',');
+      if (helper === '') {
+        succeeds(socket, request);
+      } else {
+        const headers = ['not-run: 1', `at-fault: ${helper}`, 'connection: close'];
+        socket.end(answerTo(request, '', { status: 503, headers }));
+      }
+    };
+    const servers = await Promise.all(
+      Array.from({ length: 2 * ENGINE_COUNT }, () => startScriptedServer(script)),
+    );
+    const initialCatalogue = {
+      ...engines,
+      routes: engines.routes.map((route) => ({ ...route, targetMs: LONG_TARGET_MS })),
+    };
+    const gateway = await startTestGateway(
+      servers.map((server) => server.port),
+      { initialCatalogue },
+    );
+    open.push(gateway, ...servers);
+    const headers = { 'prompt-tokens': String(0.9 * smallEngine.memoryTokens), timeout: String(DEADLINE_MS) };
+    const answer = await callAs({ port: gateway.port, path: paths.stream, headers }).result;
+    assert.equal(answer.status, 200);
+    assert.equal(servers.flatMap((server) => server.received).length, 2);
+  });
 });
--- a/packages/placement/src/job.ts
+++ b/packages/placement/src/job.ts
@@ -17,6 +17,8 @@
   readonly targetPauseMs: number;
   /** Time at which the caller stops waiting, by the clock of this process. */
   readonly deadlineAtMs: number;
+  /** Whether an earlier attempt failed because of a helper, so that the job is placed on one engine if that meets its target. */
+  readonly avoidsHelpers?: boolean;
 }
 
 /** Engine time of an answer token, as a multiple of the engine time of a prompt token; an approximation. */
--- a/packages/placement/src/prompt-choice.ts
+++ b/packages/placement/src/prompt-choice.ts
@@ -46,6 +46,17 @@
   return prefillMs(engine, 0, promptTokens) > engine.stepsPerPass * engine.stepMs;
 }
 
+/**
+ * Returns whether a job is to be placed on one engine although several might serve it sooner.
+ *
+ * Handles the repetition of a prompt whose helper was leaving: where many engines leave together, another group is likely to
+ * contain one of them too, and the repetition is often the last attempt.
+ */
+function isPlacedAlone(singles: readonly PromptPlacement[], job: Job, nowMs: number): boolean {
+  const targetAtMs = job.arrivedAtMs + job.targetMs;
+  return job.avoidsHelpers === true && singles.some(({ firstEventMs }) => nowMs + firstEventMs <= targetAtMs);
+}
+
 /** The result of a comparison. */
 export interface PromptChoice {
   /** The placement with the lowest cost; one that misses the deadline only if all do. */
@@ -82,15 +93,16 @@
         ),
       )
     : [];
+  const mayShare = isLong && !isPlacedAlone(singles, job, nowMs);
   const inputs = {
     job,
     generation,
-    engines: isLong ? rankHelpers(candidates, job, generation, nowMs) : [],
+    engines: mayShare ? rankHelpers(candidates, job, generation, nowMs) : [],
     nowMs,
   };
   const predict = (size: number): PromptPlacement | undefined =>
     (fitsOneEngine ? predictGroup(inputs, size, false) : undefined) ?? predictGroup(inputs, size, true);
-  const groups = isLong ? GROUP_SIZES.map(predict) : [];
+  const groups = mayShare ? GROUP_SIZES.map(predict) : [];
   const placements = [...singles, ...groups].filter((placement) => placement !== undefined);
   const inTime = placements.filter((placement) => nowMs + placement.firstEventMs <= job.deadlineAtMs);
   const best = cheapest(inTime.length > 0 ? inTime : placements);
--- a/packages/placement/test/shared-prefill.test.ts
+++ b/packages/placement/test/shared-prefill.test.ts
@@ -100,6 +100,20 @@
     assert.ok(nowMs + decision.expectedMs <= job.deadlineAtMs);
   });
 
+  it('is prefilled by one engine in time after a helper made an attempt fail, and by several only to be in time', () => {
+    const registry = registryOf(...engineIds(12));
+    const helpersOf = (targetMs: number): number => {
+      const decision = plan(createLoadTracker(), registry, {
+        ...archiveJob('archive'),
+        targetMs,
+        avoidsHelpers: true,
+      });
+      return decision.kind === DecisionKind.Send ? decision.helpers.length : -1;
+    };
+    assert.equal(helpersOf(6_000), 0);
+    assert.ok(helpersOf(1_000) > 0);
+  });
+
   it('is sent to one engine if it is short', () => {
     const decision = plan(createLoadTracker(), registryOf(...engineIds(12)), shortJob('short'));
     assert.ok(decision.kind === DecisionKind.Send && decision.helpers.length === 0);
