Entries: the port for callers is opened before the store is read

Cause: a started process built its first calls to the store and opened the port for readiness before the port for callers; connections are reset until then.

Change: the port for callers comes first.

Run: gateway, membership and platform tests, 190 of 190.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -272,7 +272,10 @@
       storeHealth.onUnreachable(resolve);
     }),
   ]);
-  // The first listing of the store runs while the ports are opened.
+  // Callers whose connections are reset have few retries, so that their port is opened first; requests wait for the first
+  // configuration.
+  await port.listen(options.callers.host, options.callers.port);
+  logger.info('listening', { processAgeMs: Math.round(process.uptime() * MILLISECONDS_PER_SECOND) });
   follower.start();
   registerGatewayMetrics(metricsRegistry, {
     requestsInFlight: port.inFlight,
@@ -289,8 +292,6 @@
     storeRestorations: () => storeRestorations,
   });
   await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
-  await port.listen(options.callers.host, options.callers.port);
-  logger.info('listening', { processAgeMs: Math.round(process.uptime() * MILLISECONDS_PER_SECOND) });
   await readyForLinks;
   await peers.start();
   registrar.start();
