--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -2,6 +2,7 @@
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import {
+  evacuationsChanged,
   laterPosition,
   RecordKind,
   type RegistrySource,
@@ -46,7 +47,7 @@
   readonly linkedEntryCount: () => number;
   /** Whether this entry is one of the readers that watch shared kinds for all entries. */
   readonly isReader: () => boolean;
-  /** Called when a watch returned changes, or removals that were held back are applied. */
+  /** Called when a watch returned changes, a listing evacuations, or removals that were held back are applied. */
   readonly onChanges: () => void;
 }
 
@@ -160,7 +161,7 @@
   }
 
   async #list(): Promise<boolean> {
-    const { source, holder, clock, logger } = this.#options;
+    const { source, holder, clock, logger, onChanges } = this.#options;
     this.#isListing = true;
     const listed = await source.list(this.#kind);
     this.#isListing = false;
@@ -171,8 +172,14 @@
     const { position, records } = listed.value;
     this.#position = position;
     holder.dropMissing(this.#kind, listed.value);
-    const applied = this.#guard.holdMissing(holder.current(), listed.value, clock.now());
+    const before = holder.current();
+    const applied = this.#guard.holdMissing(before, listed.value, clock.now());
     holder.merge(applied, this.#completePosition(position));
+    // Other changes that only a listing shows reach the other entries by the periodic digests, too late for evacuations.
+    const { begun, ended } = evacuationsChanged(holder.current(), before);
+    if (begun.length + ended.length > 0) {
+      onChanges();
+    }
     logger.info('registry listed', {
       kind: this.#kind,
       era: position.era,
