Load after a restart: handed over by linked entries, kept after a loss of power, read from engines

Cause: an entry that starts knows none of the jobs that run, and after a loss of power of all hosts no entry does. Change: an entry sends its jobs and their progress to each entry that dials it; jobs of an entry that lost power stay in the model until their expected end; a started process reads the reports of its share of the engines, and again while they run requests that no entry knows.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -10,6 +10,8 @@
   readonly quarantinedCauses: () => number;
   readonly limitedServers: () => number;
   readonly leavingServers: () => number;
+  /** Returns the number of requests at engines that no entry knows, by the last survey. */
+  readonly unattributedRequests: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -34,6 +36,10 @@
   ],
   limitedServers: ['toucanbend_limited_servers', 'Backend servers that state a rate limit.'],
   leavingServers: ['toucanbend_leaving_servers', 'Backend servers that have answered that they leave.'],
+  unattributedRequests: [
+    'toucanbend_unattributed_requests',
+    'Requests at engines that no entry has recorded, by the last reports that this entry read after its start.',
+  ],
   catalogueVersion: [
     'toucanbend_catalogue_version',
     'Version of the configuration in force; 0 before the first.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,12 +20,14 @@
   limitShareOf,
   type WatchSettings,
 } from '@toucanbend/membership';
+import { createEngineSurvey, type EngineReports } from '@toucanbend/load-recovery';
 import { type Logger } from '@toucanbend/observability';
 import {
   applyLoadUpdate,
   createLoadTracker,
   createRetryBudget,
   type RetryBound,
+  runningJobsOf,
 } from '@toucanbend/placement';
 import { createQuarantine, type Quarantine } from '@toucanbend/quarantine';
 import {
@@ -63,6 +65,8 @@
   readonly dialect: Dialect;
   readonly memory: EngineMemory;
   readonly memoryBounds: MemoryBounds;
+  /** Reads the load of engines after the start; undefined at the first start of a deployment, whose engines are idle. */
+  readonly engineReports: EngineReports | undefined;
   readonly source: RegistrySource;
   /** Keys with which entries authenticate one another. */
   readonly peerKeys: readonly string[];
@@ -183,6 +187,7 @@
     quarantinedCauses: quarantine.list.bind(quarantine),
     onRestrictionUpdate: restrictions.receive.bind(restrictions),
     restrictions: restrictions.list.bind(restrictions),
+    runningJobs: () => runningJobsOf(loadTracker.loads(), member.name),
     onProcessEnded: (name) => {
       endedEntries.add(name);
       loadTracker.dropOwner(name);
@@ -224,9 +229,22 @@
       peers.linkCount() < MIN_LINKED_SHARE * (listEntries(holder.current()).length - 1),
     broadcast: peers.broadcast.bind(peers),
   };
+  const survey =
+    options.engineReports === undefined
+      ? undefined
+      : createEngineSurvey({
+          entry: member.name,
+          clock,
+          logger,
+          registry: context.registry,
+          loadTracker,
+          reports: options.engineReports,
+          broadcast: context.broadcast,
+        });
   const port = createCallerPort(context);
   holder.onChange((after, before) => {
     logRegistryChanges(logger, after, before);
+    survey?.begin();
     runsEnded(after, before).forEach(quarantine.serverEnded.bind(quarantine));
     applyQuarantineRecords(quarantine, after, before);
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
@@ -271,6 +289,7 @@
     limitedServers: restrictions.limitedCount.bind(restrictions),
     leavingServers: restrictions.leavingCount.bind(restrictions),
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
+    unattributedRequests: () => survey?.unattributedCount() ?? 0,
     storeAnswers: () => (storeHealth.isReachable() ? 1 : 0),
     storeCalls: () => storeHealth.counts().calls,
     failedStoreCalls: () => storeHealth.counts().failures,
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -5,7 +5,7 @@
 import { type Server } from 'node:net';
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
-import { encodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
+import { encodeLoadUpdate, type LoadUpdate, type PlacedRunningJob } from '@toucanbend/placement';
 import { encodeQuarantineUpdate, type QuarantineUpdate } from '@toucanbend/quarantine';
 import {
   decodeRecords,
@@ -34,7 +34,7 @@
   NodeRole,
   parseAddress,
 } from '@toucanbend/wire';
-import { applyUpdate, encodeState, type UpdateHandlers } from './peer-updates.js';
+import { applyUpdate, encodeRunningJobs, encodeState, type UpdateHandlers } from './peer-updates.js';
 import { type RegistryHolder } from './registry-holder.js';
 
 /** The links of one entry to all other entries. */
@@ -78,6 +78,8 @@
   readonly quarantinedCauses: () => readonly QuarantinedCause[];
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
   readonly restrictions: () => readonly RestrictionUpdate[];
+  /** Returns the jobs of this entry, which are sent to each entry that dials it. */
+  readonly runningJobs: () => readonly PlacedRunningJob[];
   /** Called when the process of an entry has ended, or a new process has taken its place. */
   readonly onProcessEnded: (name: string) => void;
   /** Called when a link fails without being closed by the peer, whose process may still be running. */
@@ -350,6 +352,7 @@
     // This entry may not dial a peer that is not registered yet, so the peer receives its digest on the accepted link.
     this.#sendDigest([link]);
     this.#sendState(link);
+    this.#sendRunningJobs(link);
     // A peer that has just started is dialled now instead of at the next periodic check.
     this.#dialMissing();
   }
@@ -369,6 +372,15 @@
     }
   }
 
+  /** Sends the jobs that the peer has no updates of; the peer accepts a link from each entry that it dials as well. */
+  #sendRunningJobs(link: Link): void {
+    const nowMs = this.#options.clock.now();
+    const changes = encodeRunningJobs(this.#options.runningJobs(), nowMs);
+    if (changes.length > 0) {
+      link.send({ type: FrameType.LoadUpdates, changes });
+    }
+  }
+
   #mergeRecords(link: Link, values: readonly unknown[], positions: Partial<Positions>): void {
     const { holder, logger } = this.#options;
     const { records, unreadable, firstError } = decodeRecords(values);
--- a/packages/membership/test/odd-frames.test.ts
+++ b/packages/membership/test/odd-frames.test.ts
@@ -67,6 +67,7 @@
     quarantinedCauses: () => [],
     onRestrictionUpdate: ignore,
     restrictions: () => [],
+    runningJobs: () => [],
     onProcessEnded: ignore,
     onUnreachable: ignore,
   });
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -108,6 +108,7 @@
       resolveRestriction();
     },
     restrictions: () => restrictions,
+    runningJobs: () => [],
     onProcessEnded: (name) => {
       gone.push(name);
       resolveEnded();
--- a/packages/placement/src/load-tracker.ts
+++ b/packages/placement/src/load-tracker.ts
@@ -21,6 +21,8 @@
 } from '@toucanbend/routing';
 import { type PlacedJob } from './engine-choice.js';
 import { type Job } from './job.js';
+import { type RunningJob } from './load-snapshot.js';
+import { type UnattributedLoad, withUnattributed } from './unattributed-load.js';
 
 /** Recorded load of one server. */
 export interface ServerLoad {
@@ -55,10 +57,27 @@
 /** Tracks the load of all servers. */
 export interface LoadTracker {
   load(server: string): ServerLoad;
+  /** Returns the recorded load of all servers, by server id. */
+  loads(): ReadonlyMap<string, ServerLoad>;
   /** Returns the load of a server whose modelled engine state is advanced to a time. */
   loadAt(server: string, engine: EngineParameters, nowMs: number): ServerLoad;
   /** Records that an entry has sent a job to a server. */
   placed(owner: string, server: string, engine: EngineParameters | undefined, job: Job, atMs: number): void;
+  /** Records a job that another entry placed before it was linked; no effect if it is known. */
+  resumed(
+    owner: string,
+    server: string,
+    engine: EngineParameters | undefined,
+    running: RunningJob,
+    nowMs: number,
+  ): void;
+  /** Records the requests at an engine that no entry has recorded, in place of those of earlier reports. */
+  unattributed(
+    server: string,
+    engine: EngineParameters | undefined,
+    load: UnattributedLoad,
+    nowMs: number,
+  ): void;
   /** Records an event of a job's answer: corrects the engine state, the slowdown and whether the job is late. */
   observed(server: string, engine: EngineParameters | undefined, event: ObservedEvent): void;
   /** Records the end of a job. */
@@ -69,7 +88,10 @@
   failed(server: string, atMs: number): void;
   /** Records a successful attempt at a server, which ends its ejection. */
   succeeded(server: string): void;
-  /** Drops the jobs of an entry whose process has ended. */
+  /**
+   * Drops the jobs of an entry whose process has ended. Those that were marked as unobserved before stay in the model of
+   * their engines until they are expected to end: a host that lost power has not closed its connections to the engines.
+   */
   dropOwner(owner: string): void;
   /** Records that an entry is unreachable: its jobs may still run, but their ends will not be reported. */
   markUnreachable(owner: string): void;
@@ -119,11 +141,17 @@
     loads.set(server, { ...load(server), ...part });
   };
 
-  const dropJobs = (server: string, isDropped: (placed: PlacedJob) => boolean): void => {
+  const dropJobs = (
+    server: string,
+    isDropped: (placed: PlacedJob) => boolean,
+    keepsUnobserved = false,
+  ): void => {
     const { jobs, engineState } = load(server);
     const dropped = new Set([...jobs].filter(([, placed]) => isDropped(placed)).map(([id]) => id));
     if (dropped.size > 0) {
-      const requests = engineState.requests.filter((request) => !dropped.has(request.id));
+      const requests = engineState.requests.filter(
+        ({ id, isUnobserved }) => !dropped.has(id) || (keepsUnobserved && isUnobserved === true),
+      );
       update(server, {
         jobs: new Map([...jobs].filter(([id]) => !dropped.has(id))),
         engineState: { ...engineState, requests },
@@ -133,6 +161,7 @@
 
   return {
     load,
+    loads: () => loads,
     loadAt: (server, engine, nowMs) => {
       const previous = load(server);
       const engineState = advanceEngine(slowEngine(engine, previous.slowdown), previous.engineState, nowMs);
@@ -151,6 +180,27 @@
       const state = advanceEngine(slowEngine(engine, previous.slowdown), previous.engineState, atMs);
       update(server, { jobs, engineState: addRequest(state, newRequest(job.id, job.generation)) });
     },
+    resumed: (owner, server, engine, { job, prefilledTokens, generatedTokens }, nowMs) => {
+      const previous = load(server);
+      if (previous.jobs.has(job.id)) {
+        return;
+      }
+      const jobs = new Map(previous.jobs).set(job.id, { job, owner, isLate: false });
+      if (engine === undefined || job.generation === undefined) {
+        update(server, { jobs });
+        return;
+      }
+      const state = advanceEngine(slowEngine(engine, previous.slowdown), previous.engineState, nowMs);
+      const request = { ...newRequest(job.id, job.generation), prefilledTokens, generatedTokens };
+      update(server, { jobs, engineState: addRequest(state, request) });
+    },
+    unattributed: (server, engine, reported, nowMs) => {
+      if (engine !== undefined) {
+        const { slowdown, engineState } = load(server);
+        const state = advanceEngine(slowEngine(engine, slowdown), engineState, nowMs);
+        update(server, { engineState: withUnattributed(engine, state, reported) });
+      }
+    },
     observed: (server, engine, event) => {
       const previous = load(server);
       const placed = previous.jobs.get(event.jobId);
@@ -192,7 +242,7 @@
     },
     dropOwner: (owner) => {
       for (const server of loads.keys()) {
-        dropJobs(server, (placed) => placed.owner === owner);
+        dropJobs(server, (placed) => placed.owner === owner, true);
       }
     },
     markUnreachable: (owner) => {
--- a/packages/placement/src/load-update.ts
+++ b/packages/placement/src/load-update.ts
@@ -7,13 +7,19 @@
 import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { z } from 'zod';
 import { type Job } from './job.js';
+import { type RunningJob } from './load-snapshot.js';
 import { type LoadTracker } from './load-tracker.js';
+import { MAX_UNATTRIBUTED_REQUESTS, type UnattributedLoad } from './unattributed-load.js';
 
 export enum LoadUpdateKind {
   Placed = 0,
   Ended = 1,
   /** A server failed a request in a way that indicates a fault of the server. */
   Failed = 2,
+  /** A job that was placed before the receiver was linked, with its progress. */
+  Running = 3,
+  /** Requests that an engine reports and that no entry has recorded. */
+  Unattributed = 4,
 }
 
 /** A load update. Its encoded times are relative to the time of encoding, since the clocks of hosts differ. */
@@ -26,7 +32,9 @@
       readonly atMs: number;
     }
   | { readonly kind: LoadUpdateKind.Ended; readonly server: string; readonly jobId: string }
-  | { readonly kind: LoadUpdateKind.Failed; readonly server: string };
+  | { readonly kind: LoadUpdateKind.Failed; readonly server: string }
+  | ({ readonly kind: LoadUpdateKind.Running; readonly server: string } & RunningJob)
+  | ({ readonly kind: LoadUpdateKind.Unattributed; readonly server: string } & UnattributedLoad);
 
 /** Maximum number of tokens of a prompt or an answer; several times the memory of an engine. */
 const MAX_TOKENS = 10_000_000;
@@ -62,7 +70,15 @@
 ]);
 const endedSchema = z.tuple([z.literal(LoadUpdateKind.Ended), z.string(), z.string()]);
 const failedSchema = z.tuple([z.literal(LoadUpdateKind.Failed), z.string()]);
-const updateSchema = z.union([placedSchema, endedSchema, failedSchema]);
+const runningSchema = z.tuple([z.literal(LoadUpdateKind.Running), number, number, placedSchema]);
+const unattributedSchema = z.tuple([
+  z.literal(LoadUpdateKind.Unattributed),
+  z.string(),
+  z.string(),
+  number,
+  number,
+]);
+const updateSchema = z.union([placedSchema, endedSchema, failedSchema, runningSchema, unattributedSchema]);
 
 /** Limits a time relative to the present, in milliseconds. */
 function clampRelative(value: number): number {
@@ -73,6 +89,25 @@
   return part === undefined ? [] : [part.role, Math.round(part.readyAtMs - nowMs)];
 }
 
+function encodePlaced(server: string, job: Job, atMs: number, nowMs: number): unknown[] {
+  return [
+    LoadUpdateKind.Placed,
+    server,
+    job.id,
+    job.service,
+    job.generation?.promptTokens ?? NO_TOKENS,
+    Math.round(job.generation?.answerTokens ?? 0),
+    job.rank,
+    Math.round(nowMs - atMs),
+    Math.round(nowMs - job.arrivedAtMs),
+    job.targetMs,
+    job.targetPauseMs,
+    Math.round(job.deadlineAtMs - nowMs),
+    job.generation?.part?.wholeTokens ?? NO_TOKENS,
+    ...encodePart(job.generation?.part, nowMs),
+  ];
+}
+
 /**
  * Encodes a load update as a flat array.
  *
@@ -82,32 +117,68 @@
  */
 export function encodeLoadUpdate(update: LoadUpdate, nowMs: number): unknown[] {
   switch (update.kind) {
-    case LoadUpdateKind.Placed: {
-      const { job, server } = update;
-      return [
-        update.kind,
-        server,
-        job.id,
-        job.service,
-        job.generation?.promptTokens ?? NO_TOKENS,
-        Math.round(job.generation?.answerTokens ?? 0),
-        job.rank,
-        Math.round(nowMs - update.atMs),
-        Math.round(nowMs - job.arrivedAtMs),
-        job.targetMs,
-        job.targetPauseMs,
-        Math.round(job.deadlineAtMs - nowMs),
-        job.generation?.part?.wholeTokens ?? NO_TOKENS,
-        ...encodePart(job.generation?.part, nowMs),
-      ];
-    }
+    case LoadUpdateKind.Placed:
+      return encodePlaced(update.server, update.job, update.atMs, nowMs);
     case LoadUpdateKind.Ended:
       return [update.kind, update.server, update.jobId];
     case LoadUpdateKind.Failed:
       return [update.kind, update.server];
+    case LoadUpdateKind.Running: {
+      const { kind, server, job, prefilledTokens, generatedTokens } = update;
+      return [kind, prefilledTokens, generatedTokens, encodePlaced(server, job, nowMs, nowMs)];
+    }
+    case LoadUpdateKind.Unattributed: {
+      const { kind, server, service, requests, promptTokens } = update;
+      return [kind, server, service, requests, Math.round(promptTokens)];
+    }
   }
 }
 
+/** Decodes the fields of a placed job. */
+function decodePlaced(
+  fields: z.infer<typeof placedSchema>,
+  nowMs: number,
+): { readonly server: string; readonly job: Job; readonly atMs: number } {
+  const [
+    ,
+    server,
+    id,
+    service,
+    promptTokens,
+    answerTokens,
+    rank,
+    sentAgoMs,
+    ageMs,
+    targetMs,
+    targetPauseMs,
+    timeLeftMs,
+    wholeTokens,
+    role = PartRole.LeaderOfHolders,
+    readyInMs = 0,
+  ] = fields;
+  const readyAtMs = nowMs + clamp(readyInMs, -MAX_RELATIVE_MS, MAX_READY_IN_MS);
+  const part =
+    wholeTokens < 0 ? undefined : { role, wholeTokens: Math.min(wholeTokens, MAX_TOKENS), readyAtMs };
+  const job: Job = {
+    id,
+    service,
+    generation:
+      promptTokens < 0
+        ? undefined
+        : {
+            promptTokens: Math.min(promptTokens, MAX_TOKENS),
+            answerTokens: clamp(answerTokens, 0, MAX_TOKENS),
+            part,
+          },
+    rank: clamp(rank, -MAX_RANK, MAX_RANK),
+    arrivedAtMs: nowMs - clamp(ageMs, 0, MAX_RELATIVE_MS),
+    targetMs: clampRelative(targetMs),
+    targetPauseMs: clampRelative(targetPauseMs),
+    deadlineAtMs: nowMs + clampRelative(timeLeftMs),
+  };
+  return { server, job, atMs: nowMs - clamp(sentAgoMs, 0, MAX_SENT_AGO_MS) };
+}
+
 /**
  * Decodes a load update.
  *
@@ -126,45 +197,28 @@
       return { kind: LoadUpdateKind.Ended, server: fields[1], jobId: fields[2] };
     case LoadUpdateKind.Failed:
       return { kind: LoadUpdateKind.Failed, server: fields[1] };
-    case LoadUpdateKind.Placed: {
-      const [
-        ,
+    case LoadUpdateKind.Placed:
+      return { kind: LoadUpdateKind.Placed, ...decodePlaced(fields, nowMs) };
+    case LoadUpdateKind.Running: {
+      const [kind, prefilledTokens, generatedTokens, placed] = fields;
+      const { server, job } = decodePlaced(placed, nowMs);
+      return {
+        kind,
+        server,
+        job,
+        prefilledTokens: clamp(prefilledTokens, 0, MAX_TOKENS),
+        generatedTokens: clamp(generatedTokens, 0, MAX_TOKENS),
+      };
+    }
+    case LoadUpdateKind.Unattributed: {
+      const [kind, server, service, requests, promptTokens] = fields;
+      return {
+        kind,
         server,
-        id,
-        service,
-        promptTokens,
-        answerTokens,
-        rank,
-        sentAgoMs,
-        ageMs,
-        targetMs,
-        targetPauseMs,
-        timeLeftMs,
-        wholeTokens,
-        role = PartRole.LeaderOfHolders,
-        readyInMs = 0,
-      ] = fields;
-      const readyAtMs = nowMs + clamp(readyInMs, -MAX_RELATIVE_MS, MAX_READY_IN_MS);
-      const part =
-        wholeTokens < 0 ? undefined : { role, wholeTokens: Math.min(wholeTokens, MAX_TOKENS), readyAtMs };
-      const job: Job = {
-        id,
         service,
-        generation:
-          promptTokens < 0
-            ? undefined
-            : {
-                promptTokens: Math.min(promptTokens, MAX_TOKENS),
-                answerTokens: clamp(answerTokens, 0, MAX_TOKENS),
-                part,
-              },
-        rank: clamp(rank, -MAX_RANK, MAX_RANK),
-        arrivedAtMs: nowMs - clamp(ageMs, 0, MAX_RELATIVE_MS),
-        targetMs: clampRelative(targetMs),
-        targetPauseMs: clampRelative(targetPauseMs),
-        deadlineAtMs: nowMs + clampRelative(timeLeftMs),
+        requests: clamp(Math.round(requests), 0, MAX_UNATTRIBUTED_REQUESTS),
+        promptTokens: clamp(promptTokens, 0, MAX_TOKENS),
       };
-      return { kind: LoadUpdateKind.Placed, server, job, atMs: nowMs - clamp(sentAgoMs, 0, MAX_SENT_AGO_MS) };
     }
   }
 }
@@ -198,5 +252,11 @@
     case LoadUpdateKind.Failed:
       tracker.failed(update.server, nowMs);
       break;
+    case LoadUpdateKind.Running:
+      tracker.resumed(sender, update.server, engineOf(update.job.service), update, nowMs);
+      break;
+    case LoadUpdateKind.Unattributed:
+      tracker.unattributed(update.server, engineOf(update.service), update, nowMs);
+      break;
   }
 }
--- /dev/null
+++ b/packages/placement/test/load-after-restart.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  applyLoadUpdate,
+  createLoadTracker,
+  decodeLoadUpdate,
+  encodeLoadUpdate,
+  type Job,
+  type LoadTracker,
+  LoadUpdateKind,
+  runningJobsOf,
+  unattributedLoad,
+} from '@toucanbend/placement';
+import { smallEngine as engine } from '../../../fakes/engine-parameters.js';
+import { longJob, plan, recordJob, registryOf, sentTo, shortJob } from './support/jobs.js';
+
+const restrictions = { countRequest: (): void => undefined };
+
+/** Hands the jobs of an entry to another one over the wire. */
+function handOver(from: LoadTracker, to: LoadTracker, owner: string, nowMs: number): void {
+  for (const running of runningJobsOf(from.loads(), owner)) {
+    const encoded = encodeLoadUpdate({ kind: LoadUpdateKind.Running, ...running }, nowMs);
+    const update = decodeLoadUpdate(encoded, nowMs);
+    assert.ok(update !== undefined);
+    applyLoadUpdate(to, restrictions, owner, update, () => engine, nowMs);
+  }
+}
+
+function fill(tracker: LoadTracker, server: string, jobs: number): Job[] {
+  const placed = Array.from({ length: jobs }, (_, index) => shortJob(`${server}-${String(index)}`));
+  placed.forEach((job) => {
+    recordJob(tracker, server, job);
+  });
+  return placed;
+}
+
+describe('An entry that has just started', () => {
+  it('places its first requests on engines that the jobs of the others leave free', () => {
+    const other = createLoadTracker();
+    fill(other, 'a', engine.slots);
+    other.loadAt('a', engine, 200);
+    const started = createLoadTracker();
+    handOver(other, started, 'entry-1', 200);
+    for (let index = 0; index < engine.slots / 2; index += 1) {
+      const job = shortJob(`own-${String(index)}`, 200);
+      const server = sentTo(plan(started, registryOf('a', 'b'), job, 200));
+      assert.equal(server, 'b');
+      recordJob(started, server, job, 200);
+    }
+  });
+
+  it('receives the progress of a job, once', () => {
+    const other = createLoadTracker();
+    recordJob(other, 'a', longJob('long'));
+    const [before] = other.loadAt('a', engine, 400).engineState.requests;
+    const started = createLoadTracker();
+    handOver(other, started, 'entry-1', 400);
+    handOver(other, started, 'entry-1', 400);
+    const { requests } = started.load('a').engineState;
+    assert.equal(requests.length, 1);
+    assert.equal(requests[0]?.prefilledTokens, before?.prefilledTokens);
+  });
+
+  it('forgets the jobs when they end', () => {
+    const other = createLoadTracker();
+    const jobs = fill(other, 'a', 3);
+    const started = createLoadTracker();
+    handOver(other, started, 'entry-1', 0);
+    jobs.forEach(({ id }) => {
+      started.ended('a', id);
+    });
+    assert.equal(started.load('a').jobs.size, 0);
+    assert.equal(started.load('a').engineState.requests.length, 0);
+  });
+
+  it('is not told of the jobs of third entries', () => {
+    const other = createLoadTracker();
+    other.placed('entry-2', 'a', engine, shortJob('third'), 0);
+    assert.deepEqual(runningJobsOf(other.loads(), 'entry-1'), []);
+  });
+});
+
+describe('The requests of a host that lost power', () => {
+  it('stay in the model of their engines when its next process is seen', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', engine.slots);
+    tracker.markUnreachable('entry-1');
+    tracker.dropOwner('entry-1');
+    assert.equal(tracker.load('a').engineState.requests.length, engine.slots);
+    assert.equal(sentTo(plan(tracker, registryOf('a', 'b'), shortJob('next', 50), 50)), 'b');
+  });
+
+  it('leave the model when they are expected to have ended', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 2);
+    tracker.markUnreachable('entry-1');
+    tracker.dropOwner('entry-1');
+    assert.equal(tracker.loadAt('a', engine, 10_000).engineState.requests.length, 0);
+  });
+
+  it('end with a process that has closed its connections', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 2);
+    tracker.dropOwner('entry-1');
+    assert.equal(tracker.load('a').engineState.requests.length, 0);
+  });
+});
+
+describe('After all hosts lost power', () => {
+  const busy = { requests: engine.slots, usedTokens: 60_000 };
+
+  it('requests go to the engines that report no others', () => {
+    const tracker = createLoadTracker();
+    const load = unattributedLoad('model', busy, tracker.load('a'), 0);
+    tracker.unattributed('a', engine, load, 0);
+    for (let index = 0; index < engine.slots / 2; index += 1) {
+      const job = shortJob(`own-${String(index)}`);
+      const server = sentTo(plan(tracker, registryOf('a', 'b'), job));
+      assert.equal(server, 'b');
+      recordJob(tracker, server, job);
+    }
+  });
+
+  it('the requests that the entries have placed since are not counted twice', () => {
+    const tracker = createLoadTracker();
+    recordJob(tracker, 'a', shortJob('known', 100), 100);
+    recordJob(tracker, 'a', shortJob('later', 500), 500);
+    const load = unattributedLoad('model', { requests: 3, usedTokens: 15_000 }, tracker.load('a'), 300);
+    assert.equal(load.requests, 2);
+    assert.equal(load.promptTokens, 10_000);
+  });
+
+  it('a later report replaces an earlier one, and the last one ends by itself', () => {
+    const tracker = createLoadTracker();
+    const report = (requests: number): void => {
+      const load = unattributedLoad('model', { requests, usedTokens: 0 }, tracker.load('a'), 0);
+      tracker.unattributed('a', engine, load, 0);
+    };
+    report(5);
+    report(2);
+    assert.equal(tracker.load('a').engineState.requests.length, 2);
+    assert.equal(tracker.loadAt('a', engine, 10_000).engineState.requests.length, 0);
+  });
+
+  it('an absurd count is bounded', () => {
+    const encoded = [LoadUpdateKind.Unattributed, 'a', 'model', 1e9, 1e15];
+    const update = decodeLoadUpdate(encoded, 0);
+    assert.ok(update?.kind === LoadUpdateKind.Unattributed && update.requests <= 64);
+  });
+});
