--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -7,9 +7,13 @@
   readonly linkedEntries: () => number;
   readonly knownEntries: () => number;
   readonly readyServers: () => number;
+  /** Returns the number of data centres whose servers get nothing more. */
+  readonly evacuatedDataCentres: () => number;
   readonly quarantinedCauses: () => number;
   readonly limitedServers: () => number;
   readonly leavingServers: () => number;
+  /** Returns the number of requests at engines that no entry knows, by the last survey. */
+  readonly unattributedRequests: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -28,12 +32,20 @@
   linkedEntries: ['toucanbend_linked_entries', 'Other entries with an open link.'],
   knownEntries: ['toucanbend_known_entries', 'Entries that are registered in the store, including this one.'],
   readyServers: ['toucanbend_ready_servers', 'Backend servers that are registered as ready for requests.'],
+  evacuatedDataCentres: [
+    'toucanbend_evacuated_data_centres',
+    'Data centres that operators have evacuated: nothing more is sent to their servers.',
+  ],
   quarantinedCauses: [
     'toucanbend_quarantined_causes',
     'Parts of prompts and single requests that are rejected because they crash backend servers.',
   ],
   limitedServers: ['toucanbend_limited_servers', 'Backend servers that state a rate limit.'],
   leavingServers: ['toucanbend_leaving_servers', 'Backend servers that have answered that they leave.'],
+  unattributedRequests: [
+    'toucanbend_unattributed_requests',
+    'Requests at engines that no entry has recorded, by the last reports that this entry read after its start.',
+  ],
   catalogueVersion: [
     'toucanbend_catalogue_version',
     'Version of the configuration in force; 0 before the first.',
--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -2,6 +2,7 @@
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import {
+  evacuationsChanged,
   laterPosition,
   RecordKind,
   type RegistrySource,
@@ -39,13 +40,14 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
-  readonly watchSettings: Readonly<Record<RecordKind, WatchSettings>>;
+  /** Settings by kind; kinds without settings are not read from the store. */
+  readonly watchSettings: Readonly<Partial<Record<RecordKind, WatchSettings>>>;
   readonly storeHealth: StoreHealth;
   /** Number of linked entries, which pass on changes that they read from the store. */
   readonly linkedEntryCount: () => number;
   /** Whether this entry is one of the readers that watch shared kinds for all entries. */
   readonly isReader: () => boolean;
-  /** Called when a watch returned changes, or removals that were held back are applied. */
+  /** Called when a watch returned changes, a listing evacuations, or removals that were held back are applied. */
   readonly onChanges: () => void;
 }
 
@@ -71,6 +73,7 @@
 class KindFollower {
   readonly #options: FollowerOptions;
   readonly #kind: RecordKind;
+  readonly #watchSettings: WatchSettings;
   readonly #guard: RemovalGuard;
   /** Position up to which this entry has read the kind itself; undefined if it is to be listed. */
   #position: StorePosition | undefined;
@@ -82,9 +85,10 @@
   #isStopped = false;
   #cancelTimer = (): void => undefined;
 
-  constructor(options: FollowerOptions, kind: RecordKind) {
+  constructor(options: FollowerOptions, kind: RecordKind, watchSettings: WatchSettings) {
     this.#options = options;
     this.#kind = kind;
+    this.#watchSettings = watchSettings;
     this.#guard = createRemovalGuard(kind);
     options.source.onRestored(() => {
       this.#guard.recordRestoration(options.clock.now());
@@ -117,7 +121,7 @@
     if (this.#isStopped || round !== this.#round) {
       return;
     }
-    const { intervalMs } = this.#options.watchSettings[this.#kind];
+    const { intervalMs } = this.#watchSettings;
     const elapsedMs = this.#options.clock.now() - startedAtMs;
     this.#schedule(isAnswered ? Math.max(0, intervalMs - elapsedMs) : this.#backoffMs());
   }
@@ -130,8 +134,7 @@
 
   /** Returns whether other entries watch this kind for this entry, which has listed it once itself. */
   #isReadByOthers(): boolean {
-    const { watchSettings, isReader } = this.#options;
-    return this.#position !== undefined && watchSettings[this.#kind].isShared && !isReader();
+    return this.#position !== undefined && this.#watchSettings.isShared && !this.#options.isReader();
   }
 
   /** Lists the kind soon instead of waiting for a watch that the store may never answer. */
@@ -158,7 +161,7 @@
   }
 
   async #list(): Promise<boolean> {
-    const { source, holder, clock, logger } = this.#options;
+    const { source, holder, clock, logger, onChanges } = this.#options;
     this.#isListing = true;
     const listed = await source.list(this.#kind);
     this.#isListing = false;
@@ -169,8 +172,14 @@
     const { position, records } = listed.value;
     this.#position = position;
     holder.dropMissing(this.#kind, listed.value);
-    const applied = this.#guard.holdMissing(holder.current(), listed.value, clock.now());
+    const before = holder.current();
+    const applied = this.#guard.holdMissing(before, listed.value, clock.now());
     holder.merge(applied, this.#completePosition(position));
+    // Other changes that only a listing shows reach the other entries by the periodic digests, too late for evacuations.
+    const { begun, ended } = evacuationsChanged(holder.current(), before);
+    if (begun.length + ended.length > 0) {
+      onChanges();
+    }
     logger.info('registry listed', {
       kind: this.#kind,
       era: position.era,
@@ -208,9 +217,8 @@
 
   /** Shared kinds are watched from what other entries have read; positions of catalogues are not the store's. */
   #watchPosition(ownPosition: StorePosition): StorePosition {
-    const { holder, watchSettings } = this.#options;
-    return watchSettings[this.#kind].isShared
-      ? laterPosition(ownPosition, holder.current().positions[this.#kind])
+    return this.#watchSettings.isShared
+      ? laterPosition(ownPosition, this.#options.holder.current().positions[this.#kind])
       : ownPosition;
   }
 
@@ -220,8 +228,8 @@
   }
 
   #waitMs(): number {
-    const { linkedEntryCount, watchSettings, random } = this.#options;
-    const { waitMs, isShared } = watchSettings[this.#kind];
+    const { linkedEntryCount, random } = this.#options;
+    const { waitMs, isShared } = this.#watchSettings;
     if (isShared) {
       return waitMs;
     }
@@ -269,8 +277,10 @@
  * @returns the follower, which does not call the store before `start`
  */
 export function createFollower(options: FollowerOptions): Follower {
-  const kinds = Object.values(RecordKind);
-  const followers = new Map(kinds.map((kind) => [kind, new KindFollower(options, kind)]));
+  const followers = Object.values(RecordKind).flatMap((kind) => {
+    const watchSettings = options.watchSettings[kind];
+    return watchSettings === undefined ? [] : [new KindFollower(options, kind, watchSettings)];
+  });
   return {
     start: () => {
       followers.forEach((follower) => {
