Gateway: the wait of the links is a module of its own, with a test

Cause: the decision when a started entry opens its links stood in gateway.ts and had no test. Change: link-start.ts, with tests of its three ends on a manual clock; no change in behaviour.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,7 @@
 import { answersUntil, drainRequests, outOfRotationAt } from './drain.js';
 import { createEvacuationReport, describeEvacuations } from './evacuation-report.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
+import { whenLinksOpen } from './link-start.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
 import { applyQuarantineRecords } from './quarantine-records.js';
@@ -100,8 +101,6 @@
 /** Minimum share of the other entries that must be linked for their load updates to be a basis for placement. */
 const MIN_LINKED_SHARE = 0.5;
 const PRUNE_INTERVAL_MS = 1_000;
-/** Longest time for which the links to other entries wait for the configuration from the store, in milliseconds. */
-const MAX_LINK_DELAY_MS = 400;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
@@ -294,13 +293,10 @@
   const registrar = createRegistrar({ member, source, clock, random, logger, storeHealth });
   storeHealth.onUnreachable(peers.announceToAll.bind(peers));
   storeHealth.onReachable(peers.announceToAll.bind(peers));
-  // Handshakes with all other entries would delay the first configuration, for which requests may be waiting.
-  const readyForLinks = Promise.race([
-    context.waitForConfiguration(MAX_LINK_DELAY_MS),
-    new Promise<void>((resolve) => {
-      storeHealth.onUnreachable(resolve);
-    }),
-  ]);
+  const linksOpen = whenLinksOpen({
+    waitForConfiguration: context.waitForConfiguration,
+    onStoreUnreachable: storeHealth.onUnreachable,
+  });
   // Callers whose connections are reset have few retries, so that their port is opened first; requests wait for the first
   // configuration.
   await port.listen(options.callers.host, options.callers.port);
@@ -323,7 +319,7 @@
     storeRestorations: () => storeRestorations,
   });
   await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
-  await readyForLinks;
+  await linksOpen;
   await peers.start();
   registrar.start();
   const prune = (): void => {
