--- a/packages/forwarding/src/request-placement.ts
+++ b/packages/forwarding/src/request-placement.ts
@@ -4,7 +4,7 @@
 import { RecordKind, type Registry } from '@toucanbend/registry';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
-import { isAnsweredInTime } from './drain-limit.js';
+import { answerLimit, drainJob, isAnsweredInTime } from './drain-limit.js';
 import { isSoonEnough } from './failover.js';
 import { decisionLogFields } from './log-fields.js';
 import { plannerInputs } from './planner-inputs.js';
@@ -23,6 +23,8 @@
    * @returns the decision, which is logged
    */
   plan(excluded: ReadonlySet<string>, mayWait: boolean): PlacementDecision;
+  /** Plans further attempts on one server where that meets the target, since a helper made an attempt fail. */
+  avoidHelpers(): void;
   /** Returns whether the whole answer is expected before this process ends. */
   isAnsweredInTime(decision: SendDecision): boolean;
   /**
@@ -39,7 +41,7 @@
 class LoggedPlacement implements RequestPlacement {
   readonly #context: ForwardingContext;
   readonly #request: CallerRequest;
-  readonly job: Job;
+  job: Job;
   #isWaiting = false;
 
   constructor(context: ForwardingContext, request: CallerRequest) {
@@ -67,10 +69,17 @@
     );
   }
 
+  avoidHelpers(): void {
+    this.job = { ...this.job, avoidsHelpers: true };
+  }
+
   isAnsweredInTime({ expectedMs }: SendDecision): boolean {
-    const { answersUntilMs, clock } = this.#context;
-    const { engine } = this.#request.service;
-    return isAnsweredInTime(answersUntilMs(), this.job, engine, clock.now() + expectedMs);
+    const { answersUntilMs, outOfRotationAtMs, clock } = this.#context;
+    const { head, receivedAtMs, service } = this.#request;
+    const limitMs = answerLimit(receivedAtMs, outOfRotationAtMs(), answersUntilMs());
+    const isLate = receivedAtMs >= outOfRotationAtMs();
+    const job = drainJob(this.job, head.prompt?.maxAnswerTokens, isLate);
+    return isAnsweredInTime(limitMs, job, service.engine, clock.now() + expectedMs);
   }
 
   /** Logs a placement decision; of consecutive decisions to wait, only the first is logged. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,9 +43,10 @@
 import { createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
 import { Registry as MetricsRegistry } from 'prom-client';
 import { describeRegistry, logRegistryChanges, readyServers, runsEnded } from './registry-report.js';
-import { answersUntil, drainRequests } from './drain.js';
+import { answersUntil, drainRequests, outOfRotationAt } from './drain.js';
 import { createEvacuationReport, describeEvacuations } from './evacuation-report.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
+import { whenLinksOpen } from './link-start.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
 import { applyQuarantineRecords } from './quarantine-records.js';
@@ -100,6 +101,7 @@
 /** Minimum share of the other entries that must be linked for their load updates to be a basis for placement. */
 const MIN_LINKED_SHARE = 0.5;
 const PRUNE_INTERVAL_MS = 1_000;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
  * Starts a gateway.
@@ -123,6 +125,7 @@
   const random = createRandom(options.seed);
   let isLeaving = false;
   let answersUntilMs = Number.POSITIVE_INFINITY;
+  let outOfRotationAtMs = Number.POSITIVE_INFINITY;
   let isClosed = false;
   const engineOf = (name: string): EngineParameters | undefined =>
     holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
@@ -234,6 +237,7 @@
     entryCount: () => Math.max(1, listEntries(holder.current()).length),
     isDraining: () => isLeaving,
     answersUntilMs: () => answersUntilMs,
+    outOfRotationAtMs: () => outOfRotationAtMs,
     acceptsRequests: () => !isClosed,
     hasPartialLoadView: () =>
       peers.linkCount() < MIN_LINKED_SHARE * (listEntries(holder.current()).length - 1),
@@ -289,7 +293,14 @@
   const registrar = createRegistrar({ member, source, clock, random, logger, storeHealth });
   storeHealth.onUnreachable(peers.announceToAll.bind(peers));
   storeHealth.onReachable(peers.announceToAll.bind(peers));
-  // The first listing of the store runs while the ports are opened.
+  const linksOpen = whenLinksOpen({
+    waitForConfiguration: context.waitForConfiguration,
+    onStoreUnreachable: storeHealth.onUnreachable,
+  });
+  // Callers whose connections are reset have few retries, so that their port is opened first; requests wait for the first
+  // configuration.
+  await port.listen(options.callers.host, options.callers.port);
+  logger.info('listening', { processAgeMs: Math.round(process.uptime() * MILLISECONDS_PER_SECOND) });
   follower.start();
   registerGatewayMetrics(metricsRegistry, {
     requestsInFlight: port.inFlight,
@@ -308,7 +319,7 @@
     storeRestorations: () => storeRestorations,
   });
   await openReadyPort(options.ready.host, options.ready.port, options.readyPath, isReady);
-  await port.listen(options.callers.host, options.callers.port);
+  await linksOpen;
   await peers.start();
   registrar.start();
   const prune = (): void => {
@@ -343,6 +354,7 @@
     leave: async () => {
       isLeaving = true;
       answersUntilMs = answersUntil(clock.now(), options.graceMs);
+      outOfRotationAtMs = outOfRotationAt(clock.now());
       port.startDraining();
       registrar.stop();
       const close = (): Promise<void> => {
@@ -350,7 +362,8 @@
         return port.stopListening();
       };
       const { graceMs } = options;
-      await drainRequests({ clock, logger, graceMs, busyConnections: port.busyConnections, close });
+      const { busyConnections, acceptedConnections } = port;
+      await drainRequests({ clock, logger, graceMs, busyConnections, acceptedConnections, close });
       follower.stop();
     },
   };
