--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -138,13 +138,13 @@
   limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
 };
 
-function serverRecord(id: string, port: number, bornAtMs = 0): RegistryRecord {
+function serverRecord(id: string, port: number, bornAtMs = 0, dataCentre = 'bagmati-a'): RegistryRecord {
   const value = {
     id,
     service: 'vanes',
     host: '127.0.0.1',
     port,
-    dataCentre: 'bagmati-a',
+    dataCentre,
     slots: 4,
     state: ServerState.Ready,
     bornAtMs,
@@ -168,6 +168,8 @@
   stopAccepting(): void;
   /** Puts a catalogue into the registry. */
   setCatalogue(value: Catalogue): void;
+  /** Puts the evacuation of a data centre into the registry. */
+  evacuate(dataCentre: string): void;
   /** Replaces the record of the server on a port by that of its next run, which has a new id unless it keeps that of before. */
   restartServer(port: number, keepsId?: boolean): void;
   close(): void;
@@ -207,6 +209,8 @@
   readonly onRestriction?: (update: RestrictionUpdate) => void;
   /** Number of entries that share the limits of servers. */
   readonly entries?: number;
+  /** Ports of the servers that are in the data centre `bagmati-b`. */
+  readonly remotePorts?: readonly number[];
 }
 
 /**
@@ -229,6 +233,7 @@
     onUpdate = () => undefined,
     onRestriction = () => undefined,
     entries = 1,
+    remotePorts = [],
   } = options;
   const decisions: DecisionLine[] = [];
   const updates: LoadUpdate[] = [];
@@ -236,7 +241,9 @@
   let isLeaving = false;
   let requestsUntilMs = Number.POSITIVE_INFINITY;
   let takesRequests = true;
-  const records: RegistryRecord[] = ports.map((port, index) => serverRecord(`s${String(index)}`, port));
+  const records: RegistryRecord[] = ports.map((port, index) =>
+    serverRecord(`s${String(index)}`, port, 0, remotePorts.includes(port) ? 'bagmati-b' : undefined),
+  );
   if (initialCatalogue !== null) {
     const position = { era: 1, revision: 1 };
     records.push({ kind: RecordKind.Catalogue, id: '', position, value: initialCatalogue });
@@ -313,6 +320,11 @@
       registry = mergeRecords(registry, [record], {});
       resolveCatalogue();
     },
+    evacuate: (dataCentre) => {
+      const kind = RecordKind.Evacuation;
+      const record = { kind, id: dataCentre, position: { era: 1, revision: 1 }, value: { dataCentre } };
+      registry = mergeRecords(registry, [record as RegistryRecord], {});
+    },
     restartServer: (port, keepsId = false) => {
       revision += 1;
       const position = { era: 1, revision };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,8 +30,6 @@
 import {
   type EntryMember,
   evacuatedDataCentres,
-  initialPosition,
-  isAfter,
   listEntries,
   listServers,
   type QuarantinedCause,
@@ -42,6 +40,7 @@
 import { Registry as MetricsRegistry } from 'prom-client';
 import { describeRegistry, logRegistryChanges, readyServers, runsEnded } from './registry-report.js';
 import { answersUntil, drainRequests } from './drain.js';
+import { createConfigurationGate } from './configuration-gate.js';
 import { createEvacuationReport, describeEvacuations } from './evacuation-report.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
 import { type ListenAddress } from './listen-address.js';
@@ -191,18 +190,8 @@
     },
     onUnreachable: loadTracker.markUnreachable,
   });
-  /** Whether the catalogue is known, and so are the evacuations: without them, requests could reach an evacuated data centre. */
-  const isConfigured = (): boolean => {
-    const { catalogue, positions } = holder.current();
-    return (
-      catalogue !== undefined &&
-      (options.maxEvacuationMs === undefined || isAfter(positions[RecordKind.Evacuation], initialPosition))
-    );
-  };
-  let resolveConfigured = (): void => undefined;
-  const configured = new Promise<void>((resolve) => {
-    resolveConfigured = resolve;
-  });
+  const { maxEvacuationMs } = options;
+  const gate = createConfigurationGate({ holder, clock, logger, maxEvacuationMs });
   const metricsRegistry = new MetricsRegistry();
   const context: ForwardingContext = {
     clock,
@@ -222,10 +211,7 @@
     retries: createRetryBudget(options.retryBound),
     quarantine,
     registry: holder.current.bind(holder),
-    waitForConfiguration: (waitMs) =>
-      isConfigured()
-        ? Promise.resolve()
-        : Promise.race([configured, new Promise<void>((resolve) => clock.after(waitMs, resolve))]),
+    waitForConfiguration: gate.wait.bind(gate),
     entryCount: () => Math.max(1, listEntries(holder.current()).length),
     isDraining: () => isLeaving,
     answersUntilMs: () => answersUntilMs,
@@ -244,18 +230,16 @@
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
       port.applyLimits(after.catalogue);
     }
-    if (isConfigured()) {
-      resolveConfigured();
-    }
   });
-  const isReady = (): boolean => !isLeaving && isConfigured() && readyServers(holder.current()).length > 0;
+  const isReady = (): boolean =>
+    !isLeaving && gate.isConfigured() && readyServers(holder.current()).length > 0;
   const follower = createFollower({
     source,
     holder,
     clock,
     random,
     logger,
-    watchSettings: watchSettingsOf(options.maxEvacuationMs),
+    watchSettings: watchSettingsOf(maxEvacuationMs),
     storeHealth,
     linkedEntryCount: peers.linkCount.bind(peers),
     isReader: isStoreReader,
