Cold servers: each entry keeps to a quota, so that all keep the bound

Cause: a server that has started during traffic, or turns cold again, crashes well above `cold_per_s` of its service, and the sum of all entries must stay within `cold_per_s` x `cold_overshoot` + `cold_slack` in each second, in touch or not. Nothing read `cold_ms`, `cold_s` or `cold_per_s`.

Change: records carry `coldMs`, services `coldMs` and `coldPerSecond`, the settings the bound. `cold-periods.ts` keeps a period for each server by the position of its record, counted from the reading, and tells the other entries at once. `cold-quota.ts` divides the requests of a window of 1.1 s among the registered entries without messages, with a share spared for unknown entries. The bucket of rate-limit.ts is not used for it: entries that decide within one delay of updates exceed it. Nothing changes for services without `cold_per_s`. No existing test was changed.

Red seen before the spare share: 53 requests in a second of 44.

--- a/packages/forwarding/src/dispatch.ts
+++ b/packages/forwarding/src/dispatch.ts
@@ -49,6 +49,10 @@
     })),
   });
   const sentAtMs = clock.now();
+  if (helpers.some(({ keepsPart }) => keepsPart)) {
+    // The request was counted before memory was reserved, and is sent only now.
+    restrictions.countOwnRequest(server.id, sentAtMs);
+  }
   return startAttempt({
     host: server.host,
     port: server.port,
--- a/packages/forwarding/src/placed-shares.ts
+++ b/packages/forwarding/src/placed-shares.ts
@@ -19,7 +19,7 @@
   const atMs = clock.now();
   for (const { server, job } of shares) {
     loadTracker.placed(planner.entry, server.id, engine, job, atMs);
-    restrictions.countRequest(server.id, atMs);
+    restrictions.countOwnRequest(server.id, atMs);
     broadcast({ kind: LoadUpdateKind.Placed, server: server.id, job, atMs });
   }
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -10,6 +10,7 @@
   readonly quarantinedCauses: () => number;
   readonly limitedServers: () => number;
   readonly leavingServers: () => number;
+  readonly coldServers: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -34,6 +35,7 @@
   ],
   limitedServers: ['toucanbend_limited_servers', 'Backend servers that state a rate limit.'],
   leavingServers: ['toucanbend_leaving_servers', 'Backend servers that have answered that they leave.'],
+  coldServers: ['toucanbend_cold_servers', 'Backend servers that are cold by what their records state.'],
   catalogueVersion: [
     'toucanbend_catalogue_version',
     'Version of the configuration in force; 0 before the first.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,13 +36,14 @@
   RecordKind,
   type RegistrySource,
 } from '@toucanbend/registry';
-import { createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
+import { type ColdBound, createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
 import { Registry as MetricsRegistry } from 'prom-client';
 import { describeRegistry, logRegistryChanges, readyServers, runsEnded } from './registry-report.js';
 import { answersUntil, drainRequests } from './drain.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
+import { coldStatements } from './cold-statements.js';
 import { applyQuarantineRecords } from './quarantine-records.js';
 import { openReadyPort } from './ready-port.js';
 
@@ -56,6 +57,8 @@
   /** Address of the operators' port with metrics and status; the port is not opened if undefined. */
   readonly operators: ListenAddress | undefined;
   readonly retryBound: RetryBound;
+  /** Most requests that a cold server may get in one second. */
+  readonly coldBound: ColdBound;
   /** Grace period from the signal to stop until the process is killed, in milliseconds. */
   readonly graceMs: number;
   /** Time after which the store drops a record that its server no longer writes, in milliseconds. */
@@ -165,6 +168,12 @@
     broadcast: (update) => {
       peers.broadcastRestriction(update);
     },
+    cold: {
+      bound: options.coldBound,
+      perSecondOf: (name) =>
+        holder.current().catalogue?.services.find((service) => service.name === name)?.coldPerSecond ?? 0,
+      entries: () => listEntries(holder.current()).map(({ name }) => name),
+    },
   });
   const peers = createPeers({
     member,
@@ -229,6 +238,7 @@
     logRegistryChanges(logger, after, before);
     runsEnded(after, before).forEach(quarantine.serverEnded.bind(quarantine));
     applyQuarantineRecords(quarantine, after, before);
+    coldStatements(after, before).forEach(restrictions.cold.stated.bind(restrictions.cold));
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
       port.applyLimits(after.catalogue);
       resolveConfigured();
@@ -270,6 +280,7 @@
     quarantinedCauses: () => quarantine.list().length,
     limitedServers: restrictions.limitedCount.bind(restrictions),
     leavingServers: restrictions.leavingCount.bind(restrictions),
+    coldServers: restrictions.cold.coldCount.bind(restrictions.cold),
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
     storeAnswers: () => (storeHealth.isReachable() ? 1 : 0),
     storeCalls: () => storeHealth.counts().calls,
--- a/packages/registry/src/catalogue.ts
+++ b/packages/registry/src/catalogue.ts
@@ -50,6 +50,10 @@
   readonly name: string;
   readonly maxConnections: number;
   readonly engine: EngineParameters | undefined;
+  /** Time for which a server is cold after its start, in milliseconds; 0 or undefined if its servers are never cold. */
+  readonly coldMs?: number;
+  /** Requests per second that a cold server gets from all entries together; 0 or undefined if there is no such limit. */
+  readonly coldPerSecond?: number;
 }
 
 /** A client account and the keys that its callers authenticate with. */
--- a/packages/registry/src/decode-record.ts
+++ b/packages/registry/src/decode-record.ts
@@ -48,6 +48,8 @@
       name: z.string(),
       maxConnections: z.number(),
       engine: z.union([engineShape, z.undefined()]),
+      coldMs: z.number().nonnegative().exactOptional(),
+      coldPerSecond: z.number().nonnegative().exactOptional(),
     }),
   ),
   accounts: z.array(z.object({ name: z.string(), keys: z.array(z.string()), rank: optionalNumber })),
@@ -68,6 +70,7 @@
   slots: z.number(),
   state: z.enum(ServerState),
   bornAtMs: z.number(),
+  coldMs: z.number().nonnegative().exactOptional(),
 });
 
 const memberShape: z.ZodType<EntryMember> = z.object({
--- a/packages/registry/src/member.ts
+++ b/packages/registry/src/member.ts
@@ -18,6 +18,8 @@
   readonly state: ServerState;
   /** Start of this run, in milliseconds since 1970; 0 if unknown. */
   readonly bornAtMs: number;
+  /** Time for which the server was still cold when it wrote its record, in milliseconds; undefined if it was not. */
+  readonly coldMs?: number;
 }
 
 /**
--- a/packages/restrictions/src/restriction-update.ts
+++ b/packages/restrictions/src/restriction-update.ts
@@ -1,5 +1,6 @@
 /** Updates about restrictions of servers that entries send one another, and their encoding as flat arrays. */
 import { clamp, MAX_RELATIVE_MS } from '@toucanbend/core';
+import { type StorePosition } from '@toucanbend/registry';
 import { z } from 'zod';
 
 /** The kinds of updates; their values differ from those of the other updates, which travel in the same frames. */
@@ -8,6 +9,8 @@
   Limit = 20,
   /** A server has stated that it leaves. */
   Leaving = 21,
+  /** A server is cold for some time, or no longer. */
+  Cold = 22,
 }
 
 /** The rate limit of a server. */
@@ -32,8 +35,23 @@
   readonly bornAtMs: number;
 }
 
+/** What the record of a server states about its cold period. */
+export interface ColdUpdate {
+  readonly kind: RestrictionUpdateKind.Cold;
+  readonly server: string;
+  /** Start of the run of the server, in milliseconds since 1970; 0 if unknown. */
+  readonly bornAtMs: number;
+  readonly service: string;
+  /** Position of the record in the store. */
+  readonly position: StorePosition;
+  /** Time until which the server is cold, in milliseconds. */
+  readonly untilMs: number;
+  /** Whether no entry can have sent requests to this run of the server before it knew of the period. */
+  readonly isUnused: boolean;
+}
+
 /** An update. Its encoded times are relative to the time of encoding, since the clocks of hosts differ. */
-export type RestrictionUpdate = LimitUpdate | LeavingUpdate;
+export type RestrictionUpdate = LimitUpdate | LeavingUpdate | ColdUpdate;
 
 const MAX_ID_LENGTH = 256;
 /** Encoded rate of a server without a limit. */
@@ -42,6 +60,8 @@
 const MAX_PER_SECOND = 1e12;
 /** Longest time for which a limit counts as used in advance, in milliseconds. */
 const MAX_USED_MS = 60_000;
+/** Longest cold period that is taken over from a record or from another entry, in milliseconds. */
+export const MAX_COLD_MS = 600_000;
 const bornAt = z.number().int().nonnegative();
 const limitSchema = z.tuple([
   z.literal(RestrictionUpdateKind.Limit),
@@ -57,7 +77,18 @@
   z.string().max(MAX_ID_LENGTH),
   bornAt,
 ]);
-const updateSchema = z.union([limitSchema, leavingSchema]);
+const revision = z.number().int().nonnegative();
+const coldSchema = z.tuple([
+  z.literal(RestrictionUpdateKind.Cold),
+  z.string().max(MAX_ID_LENGTH),
+  bornAt,
+  z.string().max(MAX_ID_LENGTH),
+  revision,
+  revision,
+  z.number(),
+  z.boolean(),
+]);
+const updateSchema = z.union([limitSchema, leavingSchema, coldSchema]);
 
 /**
  * Encodes an update as a flat array.
@@ -71,6 +102,11 @@
   if (kind === RestrictionUpdateKind.Leaving) {
     return [kind, server, bornAtMs];
   }
+  if (kind === RestrictionUpdateKind.Cold) {
+    const { service, position, untilMs, isUnused } = update;
+    const { era, revision } = position;
+    return [kind, server, bornAtMs, service, era, revision, Math.ceil(untilMs - nowMs), isUnused];
+  }
   const { perSecond, statedAtMs, usedUntilMs } = update;
   const relative = [Math.round(nowMs - statedAtMs), Math.round(usedUntilMs - nowMs)];
   return [kind, server, bornAtMs, perSecond ?? NO_LIMIT, ...relative];
@@ -93,6 +129,11 @@
     const [kind, server, bornAtMs] = fields;
     return { kind, server, bornAtMs };
   }
+  if (fields[0] === RestrictionUpdateKind.Cold) {
+    const [kind, server, bornAtMs, service, era, revision, leftMs, isUnused] = fields;
+    const untilMs = nowMs + clamp(leftMs, -MAX_RELATIVE_MS, MAX_COLD_MS);
+    return { kind, server, bornAtMs, service, position: { era, revision }, untilMs, isUnused };
+  }
   const [kind, server, bornAtMs, perSecond, statedAgoMs, usedForMs] = fields;
   return {
     kind,
--- a/packages/restrictions/src/restrictions.ts
+++ b/packages/restrictions/src/restrictions.ts
@@ -1,8 +1,8 @@
 /** The restrictions of all servers, as one entry knows them from answers and from the other entries. */
 import { type Clock } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
-import { type BackendServer } from '@toucanbend/registry';
 import murmurhash from 'murmurhash';
+import { type ColdOptions, type ColdPeriods, createColdPeriods } from './cold-periods.js';
 import {
   changeRate,
   countRequest,
@@ -13,9 +13,7 @@
 } from './rate-limit.js';
 import { type LimitUpdate, type RestrictionUpdate, RestrictionUpdateKind } from './restriction-update.js';
 import { type ServerNotice, UNLIMITED } from './server-notice.js';
-
-/** One run of a backend server. */
-export type ServerRun = Pick<BackendServer, 'id' | 'bornAtMs'>;
+import { type ServerRun } from './server-run.js';
 
 /** Where a notice comes from. */
 export interface NoticeSource {
@@ -33,6 +31,10 @@
   receive(update: RestrictionUpdate): void;
   /** Counts a request that this or another entry sends to a server, or a part of one. */
   countRequest(server: string, atMs: number): void;
+  /** Counts a request, or a part of one, that this entry itself sends to a server. */
+  countOwnRequest(server: string, atMs: number): void;
+  /** Records the cold periods that the registered servers state. */
+  readonly cold: Pick<ColdPeriods, 'stated' | 'coldCount'>;
   /**
    * Returns the time from which a server accepts a request of this entry, in milliseconds: a time in the past if the
    * server accepts one now, infinity if it leaves.
@@ -58,6 +60,8 @@
   readonly share: () => LimitShare;
   /** Sends an update to the other entries. */
   readonly broadcast: (update: RestrictionUpdate) => void;
+  /** The bound on the requests of cold servers; undefined if servers are never cold. */
+  readonly cold?: ColdOptions;
 }
 
 /** What is known of one server. */
@@ -91,9 +95,11 @@
 class EntryRestrictions implements ServerRestrictions {
   readonly #options: RestrictionsOptions;
   readonly #servers = new Map<string, Restriction>();
+  readonly cold: ColdPeriods;
 
   constructor(options: RestrictionsOptions) {
     this.#options = options;
+    this.cold = createColdPeriods(options);
   }
 
   stated(server: ServerRun, notice: ServerNotice, source: NoticeSource): void {
@@ -127,6 +133,10 @@
   }
 
   receive(update: RestrictionUpdate): void {
+    if (update.kind === RestrictionUpdateKind.Cold) {
+      this.cold.receive(update);
+      return;
+    }
     const { server: id, bornAtMs } = update;
     if (this.#isOlderRun({ id, bornAtMs })) {
       return;
@@ -145,7 +155,16 @@
     }
   }
 
+  countOwnRequest(server: string, atMs: number): void {
+    this.countRequest(server, atMs);
+    this.cold.countOwnRequest(server, atMs);
+  }
+
   availableAtMs(server: ServerRun): number {
+    return Math.max(this.cold.availableAtMs(server), this.#statedAvailableAtMs(server));
+  }
+
+  #statedAvailableAtMs(server: ServerRun): number {
     const known = this.#find(server);
     if (known?.isLeaving === true) {
       return Number.POSITIVE_INFINITY;
@@ -157,13 +176,14 @@
   }
 
   list(): RestrictionUpdate[] {
-    return [...this.#servers].flatMap(([server, known]): RestrictionUpdate[] => {
+    const stated = [...this.#servers].flatMap(([server, known]): RestrictionUpdate[] => {
       const { bornAtMs, limitStatedAtMs, isLeaving } = known;
       return [
         ...(isLeaving ? [{ kind: RestrictionUpdateKind.Leaving, server, bornAtMs } as const] : []),
         ...(Number.isFinite(limitStatedAtMs) ? [this.#limitUpdateOf(server, known)] : []),
       ];
     });
+    return [...stated, ...this.cold.list()];
   }
 
   limitedCount(): number {
@@ -175,6 +195,7 @@
   }
 
   prune(registered: ReadonlySet<string>): void {
+    this.cold.prune(registered);
     const beforeMs = this.#options.clock.now() - UNREGISTERED_MS;
     for (const [id, { changedAtMs }] of this.#servers) {
       if (!registered.has(id) && changedAtMs < beforeMs) {
