Pace: servers that have started or failed are used as they answer

Cause: a server that joins others under load has empty slots and is the cheapest of all for every entry at once, so that it is flooded before it serves at its speed, or ejected and left idle.

Change: packages/pace holds a share of the slots for each run of a server. It begins at a quarter when a server starts, fails or turns cold while at least half of the service's servers have served for 10 s at full pace, rises with answers as predicted, falls at once with failures, refusals and late answers, and ends when it is whole or after 30 s without a fall. Entries tell one another in the frames of load updates. Placement adds a bounded cost that only compares servers: no request waits or is rejected for it. `TOUCANBEND_PACE` is auto (services whose configuration has a cold period), on or off; with auto, deployments without cold periods are served as before. The cause `returned` has no caller until evacuations are joined. No existing test was changed.

--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -7,6 +7,7 @@
   type PlannerSettings,
   type RetryBudget,
 } from '@toucanbend/placement';
+import { type ServerPaces } from '@toucanbend/pace';
 import { type Quarantine } from '@toucanbend/quarantine';
 import { type Registry } from '@toucanbend/registry';
 import { type ServerRestrictions } from '@toucanbend/restrictions';
@@ -25,6 +26,8 @@
   readonly planner: PlannerSettings;
   readonly loadTracker: LoadTracker;
   readonly restrictions: ServerRestrictions;
+  /** The pace of servers that have started or recovered; undefined if all are used at full pace. */
+  readonly paces?: ServerPaces | undefined;
   readonly retries: RetryBudget;
   readonly quarantine: Quarantine;
   readonly memory: EngineMemory;
--- a/packages/forwarding/src/event-observation.ts
+++ b/packages/forwarding/src/event-observation.ts
@@ -2,6 +2,7 @@
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type AnswerTiming, extendTiming } from './log-fields.js';
+import { recordPacedAnswer } from './pace-observation.js';
 import { type RunningAttempt } from './running-attempt.js';
 
 /**
@@ -33,6 +34,9 @@
     metrics.observeFirstEvent(rank, elapsedMs);
     metrics.observePrediction(rank, expectedMs, elapsedMs);
   }
+  if (isFirst && service.engine !== undefined) {
+    recordPacedAnswer(context, attempt);
+  }
   const tokens = relay.eventCount * (service.engine?.stepsPerPass ?? 1);
   const networkDelayMs = server.dataCentre === planner.dataCentre ? 0 : planner.crossRoundTripMs / 2;
   const observed = { jobId, tokens, pauseMs, atMs, networkDelayMs };
--- a/packages/forwarding/src/failed-server.ts
+++ b/packages/forwarding/src/failed-server.ts
@@ -12,23 +12,28 @@
  * Records the failure of a server in the load tracker and broadcasts it, unless the server itself only rejected the
  * request. A helper that an answer names is at fault in place of the server that answers.
  *
- * @param context - the load tracker, the clock and the broadcast to the other entries
+ * @param context - the load tracker, the paces, the clock and the broadcast to the other entries
  * @param server - the server that got the request
  * @param helpers - the servers that were to prefill parts of the prompt
  * @param fault - why the attempt failed
+ * @param sentAtMs - when the attempt was sent, in milliseconds
  * @returns the server at fault, to which the request must not be sent again
  */
 export function recordFailedServer(
-  context: Pick<ForwardingContext, 'loadTracker' | 'clock' | 'broadcast'>,
+  context: Pick<ForwardingContext, 'loadTracker' | 'clock' | 'broadcast' | 'paces'>,
   server: BackendServer,
   helpers: readonly Helper[],
   fault: AttemptFault,
+  sentAtMs: number,
 ): BackendServer {
   const faultyHelper = findHelper(helpers, fault.faultyAddress);
   const failed = faultyHelper ?? server;
   if (faultyHelper !== undefined || fault.failure !== AttemptFailure.NotRun) {
     context.loadTracker.failed(failed.id, context.clock.now());
     context.broadcast({ kind: LoadUpdateKind.Failed, server: failed.id });
+    context.paces?.failed(failed, sentAtMs);
+  } else {
+    context.paces?.refused(failed, sentAtMs);
   }
   return failed;
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -23,6 +23,7 @@
 import { type ReservationOwner } from './part-reservation.js';
 import { type MemoryError } from './memory.js';
 import { mayRetry, outcomeOf, recordFailedAttempt } from './attempt-history.js';
+import { recordServed } from './pace-observation.js';
 import { recordEndedShares, recordPlacedShares } from './placed-shares.js';
 import { createRequestAttempts } from './request-attempts.js';
 import { createRequestPlacement, type RequestPlacement, type SendDecision } from './request-placement.js';
@@ -274,7 +275,7 @@
 
   /** Handles an event of an attempt. Returns the end of the request, or undefined if it is not answered yet. */
   #handleEvent(attempt: RunningAttempt, event: AttemptEvent): RequestEnd | undefined {
-    const { relay, server } = attempt;
+    const { relay } = attempt;
     const eventsBefore = relay.eventCount;
     const deliveredBefore = relay.deliveredCount;
     const result = relay.handle(event, this.#mayRepeatErrors());
@@ -303,7 +304,7 @@
       return undefined;
     }
     attempt.watch.answered(relay.isSuccess);
-    this.#context.loadTracker.succeeded(server.id);
+    recordServed(this.#context, this.#request, attempt, relay.isSuccess);
     return result.end;
   }
 
@@ -344,7 +345,7 @@
     if (fault.isConnectionLost === true) {
       attempt.watch.lost();
     }
-    const failed = recordFailedServer(this.#context, server, helpers, fault);
+    const failed = recordFailedServer(this.#context, server, helpers, fault, attempt.dispatchedAtMs);
     this.#triedServers.delete(server.id);
     this.#triedServers.add(failed.id);
     this.#log(LogDecision.Retry, {
--- a/packages/forwarding/src/planner-inputs.ts
+++ b/packages/forwarding/src/planner-inputs.ts
@@ -13,11 +13,12 @@
   context: ForwardingContext,
   options: Pick<PlannerInputs, 'mayWait' | 'replacesAttempt'>,
 ): PlannerInputs {
-  const { registry, loadTracker, restrictions, planner: settings, hasPartialLoadView } = context;
+  const { registry, loadTracker, restrictions, paces: pace, planner: settings, hasPartialLoadView } = context;
   return {
     registry: registry(),
     loadTracker,
     restrictions,
+    pace,
     settings,
     hasPartialLoadView: hasPartialLoadView(),
     ...options,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -11,6 +11,7 @@
   readonly limitedServers: () => number;
   readonly leavingServers: () => number;
   readonly coldServers: () => number;
+  readonly pacedServers: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -35,6 +36,7 @@
   ],
   limitedServers: ['toucanbend_limited_servers', 'Backend servers that state a rate limit.'],
   leavingServers: ['toucanbend_leaving_servers', 'Backend servers that have answered that they leave.'],
+  pacedServers: ['toucanbend_paced_servers', 'Backend servers that are used at a reduced pace.'],
   coldServers: ['toucanbend_cold_servers', 'Backend servers that are cold by what their records state.'],
   catalogueVersion: [
     'toucanbend_catalogue_version',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,7 +43,9 @@
 import { registerGatewayMetrics } from './gateway-metrics.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
-import { coldStatements } from './cold-statements.js';
+import { coldOptions, coldStatements } from './cold-statements.js';
+import { createGatewayPaces } from './gateway-paces.js';
+import { type PaceMode } from './pace-beginnings.js';
 import { applyQuarantineRecords } from './quarantine-records.js';
 import { openReadyPort } from './ready-port.js';
 
@@ -59,6 +61,8 @@
   readonly retryBound: RetryBound;
   /** Most requests that a cold server may get in one second. */
   readonly coldBound: ColdBound;
+  /** For which services servers are used at a reduced pace after they have started or recovered. */
+  readonly pace: PaceMode;
   /** Grace period from the signal to stop until the process is killed, in milliseconds. */
   readonly graceMs: number;
   /** Time after which the store drops a record that its server no longer writes, in milliseconds. */
@@ -168,11 +172,15 @@
     broadcast: (update) => {
       peers.broadcastRestriction(update);
     },
-    cold: {
-      bound: options.coldBound,
-      perSecondOf: (name) =>
-        holder.current().catalogue?.services.find((service) => service.name === name)?.coldPerSecond ?? 0,
-      entries: () => listEntries(holder.current()).map(({ name }) => name),
+    cold: coldOptions(options.coldBound, holder),
+  });
+  const paces = createGatewayPaces({
+    mode: options.pace,
+    holder,
+    clock,
+    logger,
+    broadcast: (update) => {
+      peers.broadcastPace(update);
     },
   });
   const peers = createPeers({
@@ -192,6 +200,8 @@
     quarantinedCauses: quarantine.list.bind(quarantine),
     onRestrictionUpdate: restrictions.receive.bind(restrictions),
     restrictions: restrictions.list.bind(restrictions),
+    onPaceUpdate: paces?.receive.bind(paces),
+    paces: paces?.list.bind(paces),
     onProcessEnded: (name) => {
       endedEntries.add(name);
       loadTracker.dropOwner(name);
@@ -218,6 +228,7 @@
     },
     loadTracker,
     restrictions,
+    paces,
     retries: createRetryBudget(options.retryBound),
     quarantine,
     registry: holder.current.bind(holder),
@@ -280,6 +291,7 @@
     quarantinedCauses: () => quarantine.list().length,
     limitedServers: restrictions.limitedCount.bind(restrictions),
     leavingServers: restrictions.leavingCount.bind(restrictions),
+    pacedServers: () => paces?.pacedCount() ?? 0,
     coldServers: restrictions.cold.coldCount.bind(restrictions.cold),
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
     storeAnswers: () => (storeHealth.isReachable() ? 1 : 0),
@@ -295,6 +307,7 @@
     const registered = new Set(listServers(holder.current()).map((server) => server.id));
     loadTracker.prune(registered, clock.now());
     restrictions.prune(registered);
+    paces?.prune(listServers(holder.current()));
     quarantine.prune();
     clock.after(PRUNE_INTERVAL_MS, prune);
   };
--- a/packages/membership/src/peer-updates.ts
+++ b/packages/membership/src/peer-updates.ts
@@ -1,4 +1,5 @@
 /** Encoding and decoding of the updates that linked entries send one another. */
+import { decodePaceUpdate, encodePaceUpdate, type PaceUpdate } from '@toucanbend/pace';
 import { decodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
 import {
   decodeQuarantineUpdate,
@@ -18,6 +19,8 @@
   readonly onLoadUpdate: (from: string, update: LoadUpdate) => void;
   readonly onQuarantineUpdate: (update: QuarantineUpdate) => void;
   readonly onRestrictionUpdate: (update: RestrictionUpdate) => void;
+  /** Undefined if all servers are used at full pace. */
+  readonly onPaceUpdate?: ((update: PaceUpdate) => void) | undefined;
 }
 
 /**
@@ -29,7 +32,7 @@
  * @param nowMs - the current time, in milliseconds, to which encoded times are relative
  */
 export function applyUpdate(handlers: UpdateHandlers, from: string, change: unknown, nowMs: number): void {
-  const { onLoadUpdate, onQuarantineUpdate, onRestrictionUpdate } = handlers;
+  const { onLoadUpdate, onQuarantineUpdate, onRestrictionUpdate, onPaceUpdate } = handlers;
   const loadUpdate = decodeLoadUpdate(change, nowMs);
   if (loadUpdate !== undefined) {
     onLoadUpdate(from, loadUpdate);
@@ -43,6 +46,11 @@
   const restrictionUpdate = decodeRestrictionUpdate(change, nowMs);
   if (restrictionUpdate !== undefined) {
     onRestrictionUpdate(restrictionUpdate);
+    return;
+  }
+  const paceUpdate = decodePaceUpdate(change, nowMs);
+  if (paceUpdate !== undefined) {
+    onPaceUpdate?.(paceUpdate);
   }
 }
 
@@ -52,17 +60,20 @@
  * @param quarantinedCauses - the quarantined causes in force
  * @param restrictions - what is known of the restrictions of servers
  * @param nowMs - the current time, in milliseconds, to which encoded times are relative
+ * @param paces - the paces of servers
  * @returns the encoded updates
  */
 export function encodeState(
   quarantinedCauses: readonly QuarantinedCause[],
   restrictions: readonly RestrictionUpdate[],
   nowMs: number,
+  paces: readonly PaceUpdate[] = [],
 ): unknown[] {
   return [
     ...quarantinedCauses.map((quarantined) =>
       encodeQuarantineUpdate({ kind: QuarantineUpdateKind.Quarantined, quarantined }, nowMs),
     ),
     ...restrictions.map((update) => encodeRestrictionUpdate(update, nowMs)),
+    ...paces.map((update) => encodePaceUpdate(update, nowMs)),
   ];
 }
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -5,6 +5,7 @@
 import { type Server } from 'node:net';
 import { type Clock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
+import { encodePaceUpdate, type PaceUpdate } from '@toucanbend/pace';
 import { encodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
 import { encodeQuarantineUpdate, type QuarantineUpdate } from '@toucanbend/quarantine';
 import {
@@ -47,6 +48,8 @@
   broadcastQuarantine(update: QuarantineUpdate): void;
   /** Sends an update about restrictions of servers to all other entries, in the same frames. */
   broadcastRestriction(update: RestrictionUpdate): void;
+  /** Sends an update about the pace of a server to all other entries, in the same frames. */
+  broadcastPace(update: PaceUpdate): void;
   /**
    * Sends a digest of the positions of this entry's newest records to all other entries after a short random delay. Further
    * calls during the delay have no effect.
@@ -78,6 +81,8 @@
   readonly quarantinedCauses: () => readonly QuarantinedCause[];
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
   readonly restrictions: () => readonly RestrictionUpdate[];
+  /** Returns the paces of servers, which are sent to each entry that is linked; undefined if all have full pace. */
+  readonly paces?: (() => readonly PaceUpdate[]) | undefined;
   /** Called when the process of an entry has ended, or a new process has taken its place. */
   readonly onProcessEnded: (name: string) => void;
   /** Called when a link fails without being closed by the peer, whose process may still be running. */
@@ -183,6 +188,10 @@
     this.#queue((nowMs) => encodeRestrictionUpdate(update, nowMs));
   }
 
+  broadcastPace(update: PaceUpdate): void {
+    this.#queue((nowMs) => encodePaceUpdate(update, nowMs));
+  }
+
   #queue(encode: (nowMs: number) => unknown[]): void {
     this.#pendingUpdates.push(encode);
     if (this.#pendingUpdates.length === 1) {
@@ -362,8 +371,8 @@
 
   /** Sends what an entry that has just started, or was cut off, needs to know besides the registry. */
   #sendState(link: Link): void {
-    const { clock, quarantinedCauses, restrictions } = this.#options;
-    const changes = encodeState(quarantinedCauses(), restrictions(), clock.now());
+    const { clock, quarantinedCauses, restrictions, paces } = this.#options;
+    const changes = encodeState(quarantinedCauses(), restrictions(), clock.now(), paces?.());
     if (changes.length > 0) {
       link.send({ type: FrameType.LoadUpdates, changes });
     }
--- a/packages/placement/src/call-choice.ts
+++ b/packages/placement/src/call-choice.ts
@@ -4,6 +4,8 @@
  * Handles short calls on few slots: a call that is queued at a full server waits for about a whole service time.
  */
 
+import { paceCost } from './pace-cost.js';
+
 /** A server that may be chosen for a call. */
 export interface CallCandidate {
   readonly server: string;
@@ -14,6 +16,8 @@
   readonly meanCallMs: number;
   /** Network round-trip time to the server, in milliseconds. */
   readonly roundTripMs: number;
+  /** Share of the server's slots that its pace allows, in (0, 1]; 1 if undefined. */
+  readonly pace?: number;
 }
 
 /** Predicted effect of sending a call to a server. */
@@ -44,6 +48,8 @@
  * decides between servers that have a free slot, since busy servers are slower.
  */
 const OCCUPANCY_MS = 20;
+/** Penalty in milliseconds that stands for the value of a job in the cost of a reduced pace; at most `OCCUPANCY_MS`. */
+const PACE_UNIT_MS = 100;
 
 /**
  * Chooses the server with the lowest predicted time to the answer, plus a penalty for occupied slots.
@@ -56,7 +62,11 @@
   let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
     const prediction = predictCall(candidate);
-    const cost = prediction.answerMs + (OCCUPANCY_MS * candidate.inFlight) / Math.max(1, candidate.slots);
+    const { inFlight, slots, pace = 1 } = candidate;
+    const cost =
+      prediction.answerMs +
+      (OCCUPANCY_MS * inFlight) / Math.max(1, slots) +
+      PACE_UNIT_MS * paceCost(pace, inFlight, slots);
     if (cost < bestCost) {
       best = prediction;
       bestCost = cost;
--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -18,6 +18,7 @@
   runsRequest,
 } from '@toucanbend/engine-model';
 import { type Job, jobValue } from './job.js';
+import { paceCost } from './pace-cost.js';
 
 /** A job that was sent to a server, with the state of its answer. */
 export interface PlacedJob {
@@ -51,6 +52,8 @@
   readonly affinityPenalty: number;
   /** Whether some other entries place jobs without this entry receiving their load updates. */
   readonly hasPartialLoadView: boolean;
+  /** Share of the engine's slots that its pace allows, in (0, 1]; 1 if undefined. */
+  readonly pace?: number;
 }
 
 /** Predicted effect of sending a job to an engine. Losses and costs are in the unit of `jobValue`. */
@@ -64,6 +67,8 @@
   readonly lossOfOthers: number;
   /** Cost of the placement preferences. */
   readonly preferenceCost: number;
+  /** Cost of a reduced pace of the engine, which only compares engines. */
+  readonly paceCost: number;
 }
 
 /** Maximum number of passes that a prediction simulates; enough for the longest prompt that fits into memory. */
@@ -293,8 +298,10 @@
     lossOfOthers > 0
       ? sumLosses(simulatePasses(candidate, state, candidate.jobs, undefined, withJob.endsAtMs).losses)
       : 0;
+  const running = candidate.state.requests.filter(runsRequest).length;
   return {
     server: candidate.server,
+    paceCost: paceCost(candidate.pace ?? 1, running, engine.slots) * jobValue(job),
     firstEventMs: withJob.firstEventAtMs + candidate.roundTripMs - nowMs,
     ownLoss,
     lossOfOthers: Math.max(0, lossOfOthers - baselineLoss),
--- a/packages/placement/src/engine-group.ts
+++ b/packages/placement/src/engine-group.ts
@@ -75,7 +75,7 @@
       .slice(0, LEADER_SHORTLIST_SIZE)
       .map((candidate) => {
         const prediction = predictPlacement(candidate, job, leaderShare, nowMs);
-        return { ...prediction, cost: externalCostOf(prediction) + prediction.ownLoss };
+        return { ...prediction, cost: externalCostOf(prediction) + prediction.ownLoss + prediction.paceCost };
       }),
   );
   if (leader === undefined) {
@@ -97,6 +97,7 @@
   const lossOfOthers = members.reduce((sum, member) => sum + member.lossOfOthers, 0);
   // Together the engines do the work of one, so they are charged the preferences of one.
   const preferenceCost = members.reduce((sum, member) => sum + member.preferenceCost, 0) / size;
+  const paceCost = members.reduce((sum, member) => sum + member.paceCost, 0) / size;
   const externalCost = lossOfOthers + preferenceCost;
   const ownLoss = Math.max(leader.ownLoss, lateStartLoss(unplacedJob(job), nowMs + firstEventMs));
   const helperCost = (keepsParts ? HOLDER_COST : HELPER_COST) * helpers.length * jobValue(job);
@@ -108,7 +109,7 @@
     firstEventMs,
     ownLoss,
     externalCost,
-    cost: externalCost + ownLoss + helperCost + delayCost(job, firstEventMs, nowMs),
+    cost: externalCost + ownLoss + paceCost + helperCost + delayCost(job, firstEventMs, nowMs),
   };
 }
 
@@ -138,9 +139,13 @@
   return shortlistEngines(engine, engines, job, part, size, nowMs)
     .map((shortlisted) => {
       const candidate = advance(shortlisted);
-      const { firstEventMs, lossOfOthers, preferenceCost } = predictPlacement(candidate, job, part, nowMs);
+      const prediction = predictPlacement(candidate, job, part, nowMs);
+      const { firstEventMs, lossOfOthers, preferenceCost, paceCost } = prediction;
       const cost =
-        lossOfOthers + preferenceCost + delayCost(job, firstEventMs, nowMs, INTERRUPTED_DELAY_COST);
+        lossOfOthers +
+        preferenceCost +
+        paceCost +
+        delayCost(job, firstEventMs, nowMs, INTERRUPTED_DELAY_COST);
       return { candidate, cost };
     })
     .sort((left, right) => left.cost - right.cost)
--- a/packages/placement/src/engine-shortlist.ts
+++ b/packages/placement/src/engine-shortlist.ts
@@ -7,6 +7,7 @@
 import { type EngineParameters, type Generation, prefillNextMs, runsRequest } from '@toucanbend/engine-model';
 import { type EngineCandidate, latenessRisk } from './engine-choice.js';
 import { type Job, jobValue } from './job.js';
+import { paceCost } from './pace-cost.js';
 import { type ServerLoad } from './load-tracker.js';
 import { type ReadyServer } from './ready-servers.js';
 
@@ -19,6 +20,8 @@
 export interface RecordedEngine {
   readonly view: ReadyServer;
   readonly load: ServerLoad;
+  /** Share of the engine's slots that its pace allows, in (0, 1]; 1 if undefined. */
+  readonly pace?: number;
 }
 
 /** The candidates of a decision, and how to bring the recorded load of some of them up to date. */
@@ -98,7 +101,7 @@
 }
 
 /** Estimates the cost of a job on an engine, as a share of the job's value. */
-function estimateCost(inputs: EstimateInputs, { view, load }: RecordedEngine): number {
+function estimateCost(inputs: EstimateInputs, { view, load, pace = 1 }: RecordedEngine): number {
   const { engine, job, generation, value, passPrefillMs, nowMs } = inputs;
   const { engineState: state, slowdown } = load;
   const { partBacklogMs, backlogMs, running, strictestPauseMs, streamValue } = summaryOf(engine, load);
@@ -112,6 +115,7 @@
     waitMs / Math.max(1, job.targetMs) +
     OCCUPANCY_COST * occupancy ** 2 +
     (occupancy >= 1 ? 1 : 0) +
+    paceCost(pace, running, engine.slots) +
     AFFINITY_COST * view.affinityPenalty
   );
 }
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -1,5 +1,6 @@
 /** Chooses the server of a request, delays the request or rejects it, based on the registry and the load tracker. */
 import { type EngineParameters, type Generation, slowEngine } from '@toucanbend/engine-model';
+import { type ServerPaces } from '@toucanbend/pace';
 import { type BackendServer, type Registry, type Service } from '@toucanbend/registry';
 import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
@@ -53,6 +54,8 @@
   readonly registry: Registry;
   readonly loadTracker: LoadTracker;
   readonly restrictions: Pick<ServerRestrictions, 'availableAtMs'>;
+  /** The pace of servers that have started or recovered; undefined if all are used at full pace. */
+  readonly pace?: Pick<ServerPaces, 'shareOf'> | undefined;
   readonly settings: PlannerSettings;
   /** Whether a job may wait for a cheaper placement; a process that is about to exit places jobs immediately. */
   readonly mayWait: boolean;
@@ -80,6 +83,7 @@
       inFlight: load.jobs.size,
       meanCallMs: load.meanCallMs,
       roundTripMs,
+      pace: inputs.pace?.shareOf(server) ?? 1,
     };
   });
   const best = chooseForCall(candidates);
@@ -211,9 +215,13 @@
   const free = (load: ServerLoad): ServerLoad => (replacesAttempt ? withoutShares(load, job.id) : load);
   const candidates: PromptCandidates = {
     engine,
-    engines: servers.map((view): RecordedEngine => ({ view, load: free(loadTracker.load(view.server.id)) })),
+    engines: servers.map((view): RecordedEngine => ({
+      view,
+      load: free(loadTracker.load(view.server.id)),
+      pace: inputs.pace?.shareOf(view.server) ?? 1,
+    })),
     fitsOneEngine: !exceedsEngineMemory(engine, job),
-    advance: ({ view }) => {
+    advance: ({ view, pace = 1 }) => {
       const load = free(loadTracker.loadAt(view.server.id, engine, nowMs));
       return {
         server: view.server.id,
@@ -223,6 +231,7 @@
         affinityPenalty: view.affinityPenalty,
         hasPartialLoadView,
         roundTripMs: view.roundTripMs,
+        pace,
       };
     },
   };
--- a/packages/placement/src/prompt-choice.ts
+++ b/packages/placement/src/prompt-choice.ts
@@ -22,7 +22,7 @@
   costAtTarget: number | undefined,
   nowMs: number,
 ): PromptPlacement {
-  const { server, firstEventMs, ownLoss, lossOfOthers, preferenceCost } = predictPlacement(
+  const { server, firstEventMs, ownLoss, lossOfOthers, preferenceCost, paceCost } = predictPlacement(
     candidate,
     job,
     generation,
@@ -37,7 +37,7 @@
     firstEventMs,
     ownLoss,
     externalCost,
-    cost: externalCost + ownLoss + delayCost(job, firstEventMs, nowMs, costAtTarget),
+    cost: externalCost + ownLoss + paceCost + delayCost(job, firstEventMs, nowMs, costAtTarget),
   };
 }
 
