Cold servers: a process that has just started waits one window, whoever tells it

Cause: an update of another entry says that a new run had no requests before its period; an entry that started in the course of the period took that as said to itself, although the process before it may have sent its quota.

Change: a process sends nothing to a cold server within its own first window.

--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -32,7 +32,12 @@
   runIdOf,
   ServerState,
 } from '@toucanbend/registry';
-import { createServerRestrictions, type RestrictionUpdate, UNLIMITED } from '@toucanbend/restrictions';
+import {
+  type ColdOptions,
+  createServerRestrictions,
+  type RestrictionUpdate,
+  UNLIMITED,
+} from '@toucanbend/restrictions';
 import { ok } from 'neverthrow';
 import { Registry as MetricsRegistry } from 'prom-client';
 
@@ -207,6 +212,8 @@
   readonly onRestriction?: (update: RestrictionUpdate) => void;
   /** Number of entries that share the limits of servers. */
   readonly entries?: number;
+  /** The bound on the requests of cold servers; none by default. */
+  readonly cold?: ColdOptions;
 }
 
 /**
@@ -229,6 +236,7 @@
     onUpdate = () => undefined,
     onRestriction = () => undefined,
     entries = 1,
+    cold,
   } = options;
   const decisions: DecisionLine[] = [];
   const updates: LoadUpdate[] = [];
@@ -261,6 +269,7 @@
     logger: createRecordingLogger(decisions),
     share: () => ({ fraction: 1, entries }),
     broadcast: onRestriction,
+    ...(cold === undefined ? {} : { cold }),
   });
   const context: ForwardingContext = {
     clock,
--- a/packages/restrictions/src/cold-periods.ts
+++ b/packages/restrictions/src/cold-periods.ts
@@ -202,13 +202,12 @@
     const isRepeated = sameRun !== undefined && !isAfter(position, sameRun.position);
     const turnsCold = isCold && !wasCold && !isRepeated;
     // Requests of the last window are unknown if entries have used the server, or if this process has just started.
-    const heldMs =
-      stated.isUnused && sameRun === undefined ? Number.NEGATIVE_INFINITY : nowMs + COLD_WINDOW_MS;
+    const isUnused = stated.isUnused && sameRun === undefined;
+    const holdUntilMs = (isUnused ? this.#createdAtMs : nowMs) + COLD_WINDOW_MS;
     this.#periods.set(server, {
       ...stated,
       untilMs,
-      isUnused: stated.isUnused,
-      holdUntilMs: turnsCold ? heldMs : (sameRun?.holdUntilMs ?? Number.NEGATIVE_INFINITY),
+      holdUntilMs: turnsCold ? holdUntilMs : (sameRun?.holdUntilMs ?? Number.NEGATIVE_INFINITY),
       sentAtMs: sameRun?.sentAtMs ?? [],
       isLoggedCold: turnsCold || (sameRun?.isLoggedCold ?? false),
     });
--- a/packages/restrictions/test/cold-periods.test.ts
+++ b/packages/restrictions/test/cold-periods.test.ts
@@ -4,6 +4,7 @@
 import { createManualClock, createRandom, type ManualClock, type Random } from '@toucanbend/core';
 import { type Logger } from '@toucanbend/observability';
 import {
+  COLD_WINDOW_MS,
   type ColdBound,
   coldQuota,
   coldRank,
@@ -233,6 +234,22 @@
     assert.equal(started.cold.coldCount(), 0);
   });
 
+  it('keeps an entry that has started in its course from sending within its first window, whoever tells it', () => {
+    const { fleet, restrictions } = startEntry();
+    restrictions.cold.stated(statement);
+    assert.ok(restrictions.availableAtMs(server) <= fleet.clock.now());
+    const [update] = restrictions.list();
+    assert.ok(update !== undefined);
+    const startedAtMs = fleet.clock.now();
+    const { restrictions: told } = fleet.start('told', ['entry-0', 'told']);
+    const { restrictions: reader } = fleet.start('reader', ['entry-0', 'reader']);
+    fleet.clock.advance(300);
+    told.receive(update);
+    reader.cold.stated(statement);
+    assert.equal(told.availableAtMs(server), startedAtMs + COLD_WINDOW_MS);
+    assert.equal(reader.availableAtMs(server), startedAtMs + 300 + COLD_WINDOW_MS);
+  });
+
   it('ends early with a later record that states none, but not with that of an older copy of the store', () => {
     const { restrictions } = startEntry();
     restrictions.cold.stated(statement);
