--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -32,7 +32,12 @@
   runIdOf,
   ServerState,
 } from '@toucanbend/registry';
-import { createServerRestrictions, type RestrictionUpdate, UNLIMITED } from '@toucanbend/restrictions';
+import {
+  type ColdOptions,
+  createServerRestrictions,
+  type RestrictionUpdate,
+  UNLIMITED,
+} from '@toucanbend/restrictions';
 import { ok } from 'neverthrow';
 import { Registry as MetricsRegistry } from 'prom-client';
 
@@ -211,6 +216,8 @@
   readonly entries?: number;
   /** Ports of the servers that are in the data centre `bagmati-b`. */
   readonly remotePorts?: readonly number[];
+  /** The bound on the requests of cold servers; none by default. */
+  readonly cold?: ColdOptions;
 }
 
 /**
@@ -234,6 +241,7 @@
     onRestriction = () => undefined,
     entries = 1,
     remotePorts = [],
+    cold,
   } = options;
   const decisions: DecisionLine[] = [];
   const updates: LoadUpdate[] = [];
@@ -268,6 +276,7 @@
     logger: createRecordingLogger(decisions),
     share: () => ({ fraction: 1, entries }),
     broadcast: onRestriction,
+    ...(cold === undefined ? {} : { cold }),
   });
   const context: ForwardingContext = {
     clock,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -14,6 +14,8 @@
   readonly leavingServers: () => number;
   /** Returns the number of requests at engines that no entry knows, by the last survey. */
   readonly unattributedRequests: () => number;
+  readonly coldServers: () => number;
+  readonly pacedServers: () => number;
   /** Returns 0 before the first catalogue is received. */
   readonly catalogueVersion: () => number;
   /** Returns 1 if the last call to the store was answered, else 0. */
@@ -46,6 +48,8 @@
     'toucanbend_unattributed_requests',
     'Requests at engines that no entry has recorded, by the last reports that this entry read after its start.',
   ],
+  pacedServers: ['toucanbend_paced_servers', 'Backend servers that are used at a reduced pace.'],
+  coldServers: ['toucanbend_cold_servers', 'Backend servers that are cold by what their records state.'],
   catalogueVersion: [
     'toucanbend_catalogue_version',
     'Version of the configuration in force; 0 before the first.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,7 +38,7 @@
   RecordKind,
   type RegistrySource,
 } from '@toucanbend/registry';
-import { createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
+import { type ColdBound, createServerRestrictions, type ServerRestrictions } from '@toucanbend/restrictions';
 import { Registry as MetricsRegistry } from 'prom-client';
 import { describeRegistry, logRegistryChanges, readyServers, runsEnded } from './registry-report.js';
 import { createConfigurationGate } from './configuration-gate.js';
@@ -48,6 +48,9 @@
 import { whenLinksOpen } from './link-start.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
+import { coldOptions, coldStatements } from './cold-statements.js';
+import { createGatewayPaces } from './gateway-paces.js';
+import { type PaceMode } from './pace-beginnings.js';
 import { applyQuarantineRecords } from './quarantine-records.js';
 import { openReadyPort } from './ready-port.js';
 import { watchSettingsOf } from './watch-settings.js';
@@ -62,6 +65,10 @@
   /** Address of the operators' port with metrics and status; the port is not opened if undefined. */
   readonly operators: ListenAddress | undefined;
   readonly retryBound: RetryBound;
+  /** Most requests that a cold server may get in one second. */
+  readonly coldBound: ColdBound;
+  /** For which services servers are used at a reduced pace after they have started or recovered. */
+  readonly pace: PaceMode;
   /** Grace period from the signal to stop until the process is killed, in milliseconds. */
   readonly graceMs: number;
   /** Time after which the store drops a record that its server no longer writes, in milliseconds. */
@@ -173,6 +180,16 @@
     broadcast: (update) => {
       peers.broadcastRestriction(update);
     },
+    cold: coldOptions(options.coldBound, holder),
+  });
+  const paces = createGatewayPaces({
+    mode: options.pace,
+    holder,
+    clock,
+    logger,
+    broadcast: (update) => {
+      peers.broadcastPace(update);
+    },
   });
   const peers = createPeers({
     member,
@@ -192,6 +209,8 @@
     onRestrictionUpdate: restrictions.receive.bind(restrictions),
     restrictions: restrictions.list.bind(restrictions),
     runningJobs: () => runningJobsOf(loadTracker.loads(), member.name),
+    onPaceUpdate: paces?.receive.bind(paces),
+    paces: paces?.list.bind(paces),
     onProcessEnded: (name) => {
       endedEntries.add(name);
       loadTracker.dropOwner(name);
@@ -216,6 +235,7 @@
     },
     loadTracker,
     restrictions,
+    paces,
     retries: createRetryBudget(options.retryBound),
     quarantine,
     registry: holder.current.bind(holder),
@@ -249,6 +269,7 @@
     survey?.begin();
     runsEnded(after, before).forEach(quarantine.serverEnded.bind(quarantine));
     applyQuarantineRecords(quarantine, after, before);
+    coldStatements(after, before).forEach(restrictions.cold.stated.bind(restrictions.cold));
     if (after.catalogue !== undefined && after.catalogue !== before.catalogue) {
       port.applyLimits(after.catalogue);
     }
@@ -295,6 +316,8 @@
     quarantinedCauses: () => quarantine.list().length,
     limitedServers: restrictions.limitedCount.bind(restrictions),
     leavingServers: restrictions.leavingCount.bind(restrictions),
+    pacedServers: () => paces?.pacedCount() ?? 0,
+    coldServers: restrictions.cold.coldCount.bind(restrictions.cold),
     catalogueVersion: () => holder.current().catalogue?.version ?? 0,
     unattributedRequests: () => survey?.unattributedCount() ?? 0,
     storeAnswers: () => (storeHealth.isReachable() ? 1 : 0),
@@ -310,6 +333,7 @@
     const registered = new Set(listServers(holder.current()).map((server) => server.id));
     loadTracker.prune(registered, clock.now());
     restrictions.prune(registered);
+    paces?.prune(listServers(holder.current()));
     quarantine.prune();
     clock.after(PRUNE_INTERVAL_MS, prune);
   };
