Placement: short prompts wait at the entry for scarce places

Cause: while short prompts arrive faster than engines finish answers, an entry sent them to the queue of one full engine once the shortest prediction exceeded the target; they started late and kept the places from prompts that could be in time.

Change: when fewer than 1 in 32 places are free, a short prompt that can still meet its target waits for a free place of any engine, by turns of the entries; one that cannot yields, and is rejected with a spread retry-after time after a third of its time. Long prompts, entries with a partial load view and answers that have begun are placed as before. The decision is logged and counted by rank. The wait rules and the decision types moved out of planner.ts.

--- a/measure/scenarios/placement-cost.ts
+++ b/measure/scenarios/placement-cost.ts
@@ -95,6 +95,7 @@
     restrictions: { availableAtMs: () => Number.NEGATIVE_INFINITY },
     settings: { entry: 'entry-1', dataCentre: 'dc-0', crossRoundTripMs: 8 },
     mayWait: true,
+    mayYield: true,
     hasPartialLoadView: false,
     replacesAttempt: false,
   };
--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -20,6 +20,8 @@
   BeyondMemory = 'beyond_memory',
   /** No server of the service accepts a request now. */
   Restricted = 'restricted',
+  /** The engines have had no place to spare for a prompt that is too late to meet its target. */
+  Crowded = 'crowded',
   AttemptsUsed = 'attempts_used',
   DeadlinePassed = 'deadline_passed',
   CallerGone = 'caller_gone',
@@ -38,6 +40,7 @@
   [RejectionReason.TooLate]: EndReason.TooLate,
   [RejectionReason.BeyondMemory]: EndReason.BeyondMemory,
   [RejectionReason.Restricted]: EndReason.Restricted,
+  [RejectionReason.Crowded]: EndReason.Crowded,
 };
 
 /**
--- a/packages/forwarding/src/log-fields.ts
+++ b/packages/forwarding/src/log-fields.ts
@@ -1,5 +1,10 @@
 /** Log fields of placement decisions and answers. */
-import { DecisionKind, type LoadTracker, type PlacementDecision } from '@toucanbend/placement';
+import {
+  DecisionKind,
+  type LoadTracker,
+  type PlacementDecision,
+  type RoomReport,
+} from '@toucanbend/placement';
 import { type CallerRequest } from './caller-request.js';
 
 /** Timing of an answer as this entry measured it. */
@@ -55,6 +60,17 @@
   };
 }
 
+function roomLogFields(room: RoomReport | undefined): Record<string, string | number> {
+  return room === undefined
+    ? {}
+    : {
+        room: room.decision,
+        freePlaces: room.freePlaces,
+        places: room.places,
+        expectedMs: Math.round(room.expectedMs),
+      };
+}
+
 /**
  * Builds the log fields of a placement decision.
  *
@@ -69,9 +85,14 @@
   const decided = decision.kind;
   switch (decision.kind) {
     case DecisionKind.Reject:
-      return { decided, reason: decision.reason, retryAfterMs: Math.round(decision.retryAfterMs) };
+      return {
+        decided,
+        reason: decision.reason,
+        retryAfterMs: Math.round(decision.retryAfterMs),
+        ...roomLogFields(decision.room),
+      };
     case DecisionKind.Wait:
-      return { decided, cost: Math.round(decision.cost * 100) / 100 };
+      return { decided, cost: Math.round(decision.cost * 100) / 100, ...roomLogFields(decision.room) };
     case DecisionKind.Send:
       return {
         decided,
--- a/packages/forwarding/src/metrics.ts
+++ b/packages/forwarding/src/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of forwarding. Label values come from ranks and enumerations only, so their number is bounded. */
 import { type Outcome } from '@toucanbend/core';
+import { type RoomDecisionKind } from '@toucanbend/placement';
 import { Counter, Histogram, type Registry as MetricsRegistry } from 'prom-client';
 import { type AttemptFailure } from './attempt.js';
 import { type EndReason } from './caller-answer.js';
@@ -14,6 +15,8 @@
   countFailure(failure: AttemptFailure): void;
   /** Counts a memory order; `failure` is undefined if the order succeeded. */
   countOrder(order: MemoryOrder, failure: OrderFailure | undefined): void;
+  /** Counts a request that waits, yields or is rejected since the engines have too few free places. */
+  countRoomDecision(rank: number, decision: RoomDecisionKind): void;
   observeFirstEvent(rank: number, elapsedMs: number): void;
   /** Records the ratio of the actual to the predicted time to the first event. */
   observePrediction(rank: number, expectedMs: number, actualMs: number): void;
@@ -45,6 +48,12 @@
     labelNames: ['order', 'outcome'],
     registers,
   });
+  const roomDecisions = new Counter({
+    name: 'toucanbend_room_decisions_total',
+    help: 'Prompts that waited, yielded or were turned away for lack of free places, by rank and decision.',
+    labelNames: ['rank', 'decision'],
+    registers,
+  });
   const firstEvent = new Histogram({
     name: 'toucanbend_forwarded_first_event_seconds',
     help: 'Time to the first event, or to a whole answer, by rank.',
@@ -69,6 +78,9 @@
     countOrder: (order, failure) => {
       orders.inc({ order, outcome: failure ?? 'done' });
     },
+    countRoomDecision: (rank, decision) => {
+      roomDecisions.inc({ rank: String(rank), decision });
+    },
     observeFirstEvent: (rank, elapsedMs) => {
       firstEvent.observe({ rank: String(rank) }, elapsedMs / 1_000);
     },
--- a/packages/forwarding/src/request-placement.ts
+++ b/packages/forwarding/src/request-placement.ts
@@ -1,6 +1,12 @@
 /** Placement as one request uses it: plans its next attempt, and logs the decisions. */
 import { DecisionKind as LogDecision } from '@toucanbend/observability';
-import { DecisionKind, type Job, planJob, type PlacementDecision } from '@toucanbend/placement';
+import {
+  DecisionKind,
+  type Job,
+  planJob,
+  type PlacementDecision,
+  type RoomDecisionKind,
+} from '@toucanbend/placement';
 import { RecordKind, type Registry } from '@toucanbend/registry';
 import { type CallerRequest, jobOf } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
@@ -41,6 +47,8 @@
   readonly #request: CallerRequest;
   readonly job: Job;
   #isWaiting = false;
+  /** The last decision that was made since the engines had too few free places. */
+  #roomDecision: RoomDecisionKind | undefined;
 
   constructor(context: ForwardingContext, request: CallerRequest) {
     this.#context = context;
@@ -49,7 +57,8 @@
   }
 
   plan(excluded: ReadonlySet<string>, mayWait: boolean): PlacementDecision {
-    const inputs = plannerInputs(this.#context, { mayWait, replacesAttempt: false });
+    const mayYield = excluded.size === 0 && this.#request.head.lastEventId === undefined;
+    const inputs = plannerInputs(this.#context, { mayWait, mayYield, replacesAttempt: false });
     const decision = planJob(this.job, this.#request.service, excluded, inputs, this.#context.clock.now());
     this.#log(decision, inputs.registry);
     return decision;
@@ -57,7 +66,8 @@
 
   hasReplacement(excluded: ReadonlySet<string>, isCancelled: boolean): boolean {
     const { route, service, deadlineAtMs } = this.#request;
-    const inputs = plannerInputs(this.#context, { mayWait: false, replacesAttempt: isCancelled });
+    const options = { mayWait: false, mayYield: false, replacesAttempt: isCancelled };
+    const inputs = plannerInputs(this.#context, options);
     const nowMs = this.#context.clock.now();
     const decision = planJob(this.job, service, excluded, inputs, nowMs);
     return (
@@ -73,14 +83,20 @@
     return isAnsweredInTime(answersUntilMs(), this.job, engine, clock.now() + expectedMs);
   }
 
-  /** Logs a placement decision; of consecutive decisions to wait, only the first is logged. */
+  /** Logs a placement decision; of consecutive decisions to wait for the same thing, only the first is logged. */
   #log(decision: PlacementDecision, registry: Registry): void {
-    const isRepeatedWait = decision.kind === DecisionKind.Wait && this.#isWaiting;
+    const room = decision.kind === DecisionKind.Send ? undefined : decision.room?.decision;
+    const isSameRoom = room === this.#roomDecision;
+    const isRepeatedWait = decision.kind === DecisionKind.Wait && this.#isWaiting && isSameRoom;
     this.#isWaiting = decision.kind === DecisionKind.Wait;
+    this.#roomDecision = room;
     if (isRepeatedWait) {
       return;
     }
-    const { clock, loadTracker, logger } = this.#context;
+    const { clock, loadTracker, logger, metrics } = this.#context;
+    if (room !== undefined && !isSameRoom) {
+      metrics.countRoomDecision(this.job.rank, room);
+    }
     const { head, receivedAtMs, inputDelayMs } = this.#request;
     logger.decision({
       decision: LogDecision.Route,
--- a/packages/placement/src/engine-shortlist.ts
+++ b/packages/placement/src/engine-shortlist.ts
@@ -54,6 +54,8 @@
   readonly backlogMs: number;
   /** Number of requests that take a slot. */
   readonly running: number;
+  /** Number of these whose end will be reported. */
+  readonly observed: number;
   /** Strictest pause limit of a stream that may still be on time, in milliseconds. */
   readonly strictestPauseMs: number;
   /** Value of these streams. */
@@ -67,10 +69,12 @@
   let partBacklogMs = 0;
   let backlogMs = 0;
   let running = 0;
+  let observed = 0;
   let strictestPauseMs = Infinity;
   let streamValue = 0;
   for (const request of load.engineState.requests) {
     running += runsRequest(request) ? 1 : 0;
+    observed += runsRequest(request) && request.isUnobserved !== true ? 1 : 0;
     const leftTokens = request.promptTokens - request.prefilledTokens;
     if (leftTokens > 0) {
       const leftMs = prefillNextMs(engine, request, request.prefilledTokens, leftTokens);
@@ -84,7 +88,7 @@
       streamValue += jobValue(placed.job);
     }
   }
-  return { engine, partBacklogMs, backlogMs, running, strictestPauseMs, streamValue };
+  return { engine, partBacklogMs, backlogMs, running, observed, strictestPauseMs, streamValue };
 }
 
 function summaryOf(engine: EngineParameters, load: ServerLoad): LoadSummary {
@@ -97,6 +101,18 @@
   return summary;
 }
 
+/**
+ * Returns the number of requests that take a slot at an engine, or wait there for one. A request whose end will not be
+ * reported is not counted, since the record of an engine drops it only when it is brought up to date.
+ *
+ * @param engine - published parameters of the engine
+ * @param load - its recorded load
+ * @returns the number
+ */
+export function runningRequests(engine: EngineParameters, load: ServerLoad): number {
+  return summaryOf(engine, load).observed;
+}
+
 /** Estimates the cost of a job on an engine, as a share of the job's value. */
 function estimateCost(inputs: EstimateInputs, { view, load }: RecordedEngine): number {
   const { engine, job, generation, value, passPrefillMs, nowMs } = inputs;
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -3,45 +3,17 @@
 import { type BackendServer, type Registry, type Service } from '@toucanbend/registry';
 import { type ServerRestrictions } from '@toucanbend/restrictions';
 import { type CallCandidate, chooseForCall } from './call-choice.js';
-import { LATE_LOSS } from './engine-choice.js';
 import { USABLE_MEMORY_SHARE } from './engine-group.js';
 import { type PromptCandidates, type RecordedEngine } from './engine-shortlist.js';
+import { DecisionKind, type PlacementDecision, RejectionReason } from './decision.js';
 import { type Job, jobValue } from './job.js';
-import { type Helper, isShareOf } from './job-share.js';
+import { isShareOf } from './job-share.js';
 import { isEligible, type LoadTracker, type ServerLoad } from './load-tracker.js';
-import { choosePlacement, type PromptChoice } from './prompt-choice.js';
+import { choosePlacement } from './prompt-choice.js';
+import { findRoom } from './prompt-room.js';
+import { chooseWaitMs, recheckIntervalMs } from './prompt-wait.js';
 import { type PlannerSettings, type ReadyServer, readyServers } from './ready-servers.js';
 
-export enum DecisionKind {
-  Send = 'send',
-  /** Every placement costs too much or lacks memory now, and there is time to wait for a better one. */
-  Wait = 'wait',
-  /** No server is registered or accepts requests, none has enough memory, or none can answer before the deadline. */
-  Reject = 'refuse',
-}
-
-export enum RejectionReason {
-  NoServer = 'no_server',
-  TooLate = 'too_late',
-  BeyondMemory = 'beyond_memory',
-  /** No server accepts a request now, by what the servers stated. */
-  Restricted = 'restricted',
-}
-
-export type PlacementDecision =
-  | {
-      readonly kind: DecisionKind.Send;
-      readonly server: BackendServer;
-      /** Servers that prefill the other parts of the prompt. */
-      readonly helpers: readonly Helper[];
-      /** Predicted time from now to the first event of the answer, or to the answer of a plain service. */
-      readonly expectedMs: number;
-      /** Job value that the placement is expected to lose, summed over all jobs; 0 for calls of plain services. */
-      readonly cost: number;
-    }
-  | { readonly kind: DecisionKind.Wait; readonly waitMs: number; readonly cost: number }
-  | { readonly kind: DecisionKind.Reject; readonly reason: RejectionReason; readonly retryAfterMs: number };
-
 /**
  * Retry-after time of requests that are rejected for lack of a server or of memory, in milliseconds: about the time
  * that the registration of a server takes.
@@ -58,6 +30,8 @@
   readonly mayWait: boolean;
   /** Whether some other entries place jobs without this entry receiving their load updates. */
   readonly hasPartialLoadView: boolean;
+  /** Whether the job may leave its place to others; one whose answer has begun, or that a server has failed, may not. */
+  readonly mayYield: boolean;
   /** Whether the job runs already and would be cancelled there; its slots and memory then count as free. */
   readonly replacesAttempt: boolean;
 }
@@ -93,66 +67,6 @@
   return { kind: DecisionKind.Send, server, helpers: [], expectedMs: best.answerMs, cost: 0 };
 }
 
-/** Cost of a placement, as a share of the job's own value, from which the job waits for a cheaper placement. */
-const WAIT_COST_THRESHOLD = 0.25;
-/** Share of the target time that waiting must leave unused, as a margin for prediction errors. */
-const TARGET_MARGIN = 0.2;
-/** Safety factor on the predicted time to the first event, for the latest time at which a waiting job is placed. */
-const DEADLINE_SAFETY_FACTOR = 1.3;
-/** Expected time per generated token, as a multiple of an idle engine's step, since engines also run other jobs. */
-const BUSY_STEP_FACTOR = 2;
-/** Interval at which a waiting job is planned again, as a share of its target time, and its bounds in milliseconds. */
-const RECHECK_INTERVAL_SHARE = 0.03;
-const MIN_RECHECK_INTERVAL_MS = 40;
-const MAX_RECHECK_INTERVAL_MS = 200;
-
-/**
- * Estimates the time from the first to the last event of an answer.
- *
- * @param engine - parameters of the service's engines; undefined for a plain service
- * @param job - the job
- * @returns the time in milliseconds; 0 for a call of a plain service
- */
-export function expectedGenerationMs(engine: EngineParameters | undefined, job: Job): number {
-  return (job.generation?.answerTokens ?? 0) * (engine?.stepMs ?? 0) * BUSY_STEP_FACTOR;
-}
-
-function recheckIntervalMs(job: Job): number {
-  return Math.min(
-    MAX_RECHECK_INTERVAL_MS,
-    Math.max(MIN_RECHECK_INTERVAL_MS, RECHECK_INTERVAL_SHARE * job.targetMs),
-  );
-}
-
-/**
- * Returns how long a job should wait before it is planned again, in milliseconds; 0 if it should be placed now.
- *
- * Handles bursts of long prompts while every engine serves short ones. The target of a long prompt is seconds away, and
- * engines become free in that time; placed immediately, its prefill would exceed the pause limits of all streams on the
- * engine. If that would cost other jobs more than the job gains by meeting its target, the job waits beyond its target,
- * until the time left is needed to answer before the deadline. A short prompt waits only while it can still meet its
- * target.
- */
-function chooseWaitMs(engine: EngineParameters, job: Job, choice: PromptChoice, nowMs: number): number {
-  const { best, fastestMs } = choice;
-  const value = jobValue(job);
-  if (best.ownLoss + best.externalCost < WAIT_COST_THRESHOLD * value) {
-    return 0;
-  }
-  const intervalMs = recheckIntervalMs(job);
-  const slackMs = job.arrivedAtMs + job.targetMs * (1 - TARGET_MARGIN) - nowMs - fastestMs;
-  if (slackMs > 0) {
-    return Math.min(slackMs, intervalMs);
-  }
-  const missesTarget = nowMs + best.firstEventMs > job.arrivedAtMs + job.targetMs;
-  if (best.externalCost <= (missesTarget ? WAIT_COST_THRESHOLD : LATE_LOSS) * value) {
-    return 0;
-  }
-  const latestMs =
-    job.deadlineAtMs - expectedGenerationMs(engine, job) - DEADLINE_SAFETY_FACTOR * best.firstEventMs;
-  return Math.min(Math.max(0, latestMs - nowMs), intervalMs);
-}
-
 function exceedsEngineMemory(engine: EngineParameters, job: Job): boolean {
   const tokens = (job.generation?.promptTokens ?? 0) + (job.generation?.answerTokens ?? 0);
   return tokens > USABLE_MEMORY_SHARE * engine.memoryTokens;
@@ -207,9 +121,9 @@
   inputs: PlannerInputs,
   nowMs: number,
 ): PlacementDecision {
-  const { loadTracker, hasPartialLoadView, mayWait, replacesAttempt } = inputs;
+  const { loadTracker, hasPartialLoadView, mayWait, mayYield, replacesAttempt } = inputs;
   const free = (load: ServerLoad): ServerLoad => (replacesAttempt ? withoutShares(load, job.id) : load);
-  const candidates: PromptCandidates = {
+  const all: PromptCandidates = {
     engine,
     engines: servers.map((view): RecordedEngine => ({ view, load: free(loadTracker.load(view.server.id)) })),
     fitsOneEngine: !exceedsEngineMemory(engine, job),
@@ -226,6 +140,11 @@
       };
     },
   };
+  const room = mayWait && mayYield && !hasPartialLoadView ? findRoom(all, job, generation, nowMs) : all;
+  if ('decision' in room) {
+    return room.decision;
+  }
+  const candidates = { ...all, engines: room.engines };
   const findServer = (id: string): BackendServer | undefined =>
     servers.find(({ server }) => server.id === id)?.server;
   const choice = choosePlacement(candidates, job, generation, nowMs);
--- /dev/null
+++ b/packages/placement/src/room.ts
@@ -0,0 +1,172 @@
+/**
+ * Decides which short prompts get the free places of engines while all but a few are taken.
+ *
+ * Load pattern: for seconds, short prompts arrive faster than the engines finish answers. A prompt that joins the queue of
+ * one engine waits there for the end of an answer, although places become free at other engines meanwhile; it starts late,
+ * and so does every later prompt behind it. Prompts therefore wait at the entry for the next free place of any engine.
+ * Those that can still meet their target get it; one that cannot any more leaves it to them and is served late once
+ * places are to spare, or is rejected if that takes too long.
+ *
+ * Long prompts are not subject to this. They join the queues of engines, where the next place is then theirs.
+ */
+import { type EngineParameters, type Generation, prefillMs } from '@toucanbend/engine-model';
+import murmurhash from 'murmurhash';
+import { type RecordedEngine, runningRequests } from './engine-shortlist.js';
+import { type Job } from './job.js';
+import { expectedGenerationMs, recheckIntervalMs } from './prompt-wait.js';
+
+/** Places of the engines that a prompt may use. */
+export interface Room {
+  /** Number of requests that the engines run at the same time. */
+  readonly places: number;
+  /** Number of these that no request has taken. */
+  readonly freePlaces: number;
+  /** Engines with a free place. */
+  readonly open: readonly RecordedEngine[];
+}
+
+/** Kind of a decision while the engines have few free places. */
+export enum RoomDecisionKind {
+  /** The prompt is placed at one of the given engines. */
+  Admit = 'admit',
+  /** The prompt waits for a free place and can still meet its target. */
+  Wait = 'wait',
+  /** The prompt is too late to meet its target and waits for places to spare. */
+  Yield = 'yield',
+  /** The prompt has waited for places to spare as long as it may. */
+  TurnAway = 'turn_away',
+}
+
+/** Why a prompt waits or is rejected, for the log. */
+export interface RoomReport {
+  readonly decision: RoomDecisionKind;
+  readonly freePlaces: number;
+  readonly places: number;
+  /** Predicted time to the first event once the prompt has a place, in milliseconds. */
+  readonly expectedMs: number;
+}
+
+/** A decision while the engines have few free places. */
+export type RoomDecision =
+  | { readonly kind: RoomDecisionKind.Admit; readonly engines: readonly RecordedEngine[] }
+  | { readonly kind: RoomDecisionKind.Wait | RoomDecisionKind.Yield; readonly waitMs: number }
+  | { readonly kind: RoomDecisionKind.TurnAway; readonly retryAfterMs: number };
+
+/** Share of the places that stays free for prompts that can meet their target; late ones use what is beyond it. */
+const SPARE_SHARE = 1 / 32;
+/** A prompt counts as short if its prefill takes less than this share of the job's pause limit. */
+const SHORT_PREFILL_SHARE = 0.5;
+/**
+ * Passes from the arrival at an engine with a free place to the end of the pass with the first token, beside the prefill:
+ * on average half of the running pass, and a whole one.
+ */
+const PASSES_TO_START = 1.5;
+/** Share of its time limit that a late prompt may wait for places to spare; enough is left for the caller to come back. */
+const YIELD_SHARE = 1 / 3;
+/** Interval at which a late prompt is planned again, in milliseconds; no target depends on it any more. */
+const YIELD_INTERVAL_MS = 200;
+/**
+ * Time in which each entry has its turn at a free place, in milliseconds, and the share of it that a turn takes. Entries
+ * learn milliseconds later that another one has taken a place; without turns, several would send a prompt to each.
+ */
+const TURN_PERIOD_MS = 60;
+const TURN_SHARE = 1 / 3;
+
+/**
+ * Counts the places of engines.
+ *
+ * @param engine - published parameters of the engines
+ * @param engines - the engines, with their load as it was recorded last
+ * @returns the places
+ */
+export function surveyRoom(engine: EngineParameters, engines: readonly RecordedEngine[]): Room {
+  let freePlaces = 0;
+  const open: RecordedEngine[] = [];
+  for (const candidate of engines) {
+    const free = engine.slots - runningRequests(engine, candidate.load);
+    if (free > 0) {
+      freePlaces += free;
+      open.push(candidate);
+    }
+  }
+  return { places: engines.length * engine.slots, freePlaces, open };
+}
+
+/**
+ * Returns whether so few places are free that prompts which can meet their target need all of them.
+ *
+ * @param room - the places
+ * @returns false if a late prompt may take one
+ */
+export function isRoomScarce(room: Room): boolean {
+  return room.places > 0 && room.freePlaces < Math.max(1, SPARE_SHARE * room.places);
+}
+
+/**
+ * Returns whether a prompt is subject to the decisions of this module.
+ *
+ * @param engine - published parameters of the engines
+ * @param job - the job
+ * @param generation - its prompt
+ * @returns false if its prefill is so long that a free place is not what it mainly needs
+ */
+export function isShortPrompt(engine: EngineParameters, job: Job, generation: Generation): boolean {
+  return prefillMs(engine, 0, generation.promptTokens) < SHORT_PREFILL_SHARE * job.targetPauseMs;
+}
+
+/**
+ * Predicts the time to the first event of a prompt at an engine that has a free place and runs other requests.
+ *
+ * @param engine - published parameters of the engine
+ * @param generation - the prompt
+ * @returns the time in milliseconds
+ */
+export function expectedStartMs(engine: EngineParameters, generation: Generation): number {
+  const passMs = engine.stepsPerPass * (engine.stepMs + engine.slots * engine.generatingMs);
+  return PASSES_TO_START * passMs + prefillMs(engine, 0, generation.promptTokens);
+}
+
+/** Returns whether it is this entry's turn to take the free place of an engine. */
+function isTurn({ view }: RecordedEngine, nowMs: number): boolean {
+  return (nowMs / TURN_PERIOD_MS + view.affinityPenalty) % 1 < TURN_SHARE;
+}
+
+const HASH_RANGE = 0x1_0000_0000;
+
+/**
+ * Returns the retry-after time of a prompt that is turned away: about the time in which the running answers end, between
+ * half of it and one and a half times it, so that callers do not come back at the same moment.
+ */
+function retryAfterMs(engine: EngineParameters, job: Job): number {
+  return expectedGenerationMs(engine, job) * (0.5 + murmurhash.v3(job.id) / HASH_RANGE);
+}
+
+/**
+ * Decides about a short prompt while free places are scarce.
+ *
+ * @param room - the places of the engines
+ * @param engine - published parameters of the engines
+ * @param job - the job
+ * @param generation - its prompt
+ * @param nowMs - the current time, in milliseconds
+ * @returns the decision
+ */
+export function decideRoom(
+  room: Room,
+  engine: EngineParameters,
+  job: Job,
+  generation: Generation,
+  nowMs: number,
+): RoomDecision {
+  const startsLateAtMs = job.arrivedAtMs + job.targetMs - expectedStartMs(engine, generation);
+  if (nowMs <= startsLateAtMs) {
+    const engines = room.open.filter((candidate) => isTurn(candidate, nowMs));
+    return engines.length > 0
+      ? { kind: RoomDecisionKind.Admit, engines }
+      : { kind: RoomDecisionKind.Wait, waitMs: recheckIntervalMs(job) };
+  }
+  const waitEndsAtMs = job.arrivedAtMs + YIELD_SHARE * (job.deadlineAtMs - job.arrivedAtMs);
+  return nowMs < waitEndsAtMs
+    ? { kind: RoomDecisionKind.Yield, waitMs: Math.min(YIELD_INTERVAL_MS, waitEndsAtMs - nowMs) }
+    : { kind: RoomDecisionKind.TurnAway, retryAfterMs: retryAfterMs(engine, job) };
+}
--- a/packages/placement/test/support/jobs.ts
+++ b/packages/placement/test/support/jobs.ts
@@ -137,6 +137,7 @@
     restrictions: { availableAtMs: () => Number.NEGATIVE_INFINITY },
     settings,
     mayWait: true,
+    mayYield: true,
     hasPartialLoadView: false,
     replacesAttempt: false,
     ...options,
