Placement: shorter turns at scarce places, and returns within the time left

Callers honour a retry-after time up to a third of the time that they have left, so that longer ones would all become the same.

Change: a turn takes a sixth of its period. The retry-after time ends with a third of the time left and is spread over two thirds of that.

--- a/packages/placement/src/room.ts
+++ b/packages/placement/src/room.ts
@@ -70,7 +70,7 @@
  * learn milliseconds later that another one has taken a place; without turns, several would send a prompt to each.
  */
 const TURN_PERIOD_MS = 60;
-const TURN_SHARE = 1 / 3;
+const TURN_SHARE = 1 / 6;
 
 /**
  * Counts the places of engines.
@@ -132,13 +132,19 @@
 }
 
 const HASH_RANGE = 0x1_0000_0000;
+/** Largest share of its time left after which a caller is asked to come back, so that it can still be answered. */
+const MAX_RETURN_SHARE = 1 / 3;
+/** Earliest return as a share of the latest one; callers that are turned away together come back apart. */
+const EARLIEST_RETURN_SHARE = 1 / 3;
 
-/**
- * Returns the retry-after time of a prompt that is turned away: about the time in which the running answers end, between
- * half of it and one and a half times it, so that callers do not come back at the same moment.
- */
-function retryAfterMs(engine: EngineParameters, job: Job): number {
-  return expectedGenerationMs(engine, job) * (0.5 + murmurhash.v3(job.id) / HASH_RANGE);
+/** Returns the retry-after time of a prompt that is turned away: about the time in which the running answers end. */
+function retryAfterMs(engine: EngineParameters, job: Job, nowMs: number): number {
+  const latestMs = Math.min(
+    expectedGenerationMs(engine, job),
+    MAX_RETURN_SHARE * Math.max(0, job.deadlineAtMs - nowMs),
+  );
+  const fraction = murmurhash.v3(job.id) / HASH_RANGE;
+  return latestMs * (EARLIEST_RETURN_SHARE + (1 - EARLIEST_RETURN_SHARE) * fraction);
 }
 
 /**
@@ -168,5 +174,5 @@
   const waitEndsAtMs = job.arrivedAtMs + YIELD_SHARE * (job.deadlineAtMs - job.arrivedAtMs);
   return nowMs < waitEndsAtMs
     ? { kind: RoomDecisionKind.Yield, waitMs: Math.min(YIELD_INTERVAL_MS, waitEndsAtMs - nowMs) }
-    : { kind: RoomDecisionKind.TurnAway, retryAfterMs: retryAfterMs(engine, job) };
+    : { kind: RoomDecisionKind.TurnAway, retryAfterMs: retryAfterMs(engine, job, nowMs) };
 }
