Placement: short prompts queue at an engine if they are expected in time there

Cause: with prompts held back until a place is free, each place stays empty between the end of an answer and the next prompt. Change: while places are scarce, a short prompt is placed if it is expected to meet its target at some engine; it waits while it could with a free place, and yields after that. Turns of entries are gone.

--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -11,7 +11,7 @@
 import { isShareOf } from './job-share.js';
 import { isEligible, type LoadTracker, type ServerLoad } from './load-tracker.js';
 import { choosePlacement } from './prompt-choice.js';
-import { findRoom } from './prompt-room.js';
+import { holdForRoom } from './prompt-room.js';
 import { chooseWaitMs, recheckIntervalMs } from './prompt-wait.js';
 import { type PlannerSettings, type ReadyServer, readyServers } from './ready-servers.js';
 
@@ -127,7 +127,7 @@
 ): PlacementDecision {
   const { loadTracker, hasPartialLoadView, mayWait, mayYield, replacesAttempt } = inputs;
   const free = (load: ServerLoad): ServerLoad => (replacesAttempt ? withoutShares(load, job.id) : load);
-  const all: PromptCandidates = {
+  const candidates: PromptCandidates = {
     engine,
     engines: servers.map((view): RecordedEngine => ({
       view,
@@ -149,11 +149,6 @@
       };
     },
   };
-  const room = mayWait && mayYield && !hasPartialLoadView ? findRoom(all, job, generation, nowMs) : all;
-  if ('decision' in room) {
-    return room.decision;
-  }
-  const candidates = { ...all, engines: room.engines };
   const findServer = (id: string): BackendServer | undefined =>
     servers.find(({ server }) => server.id === id)?.server;
   const choice = choosePlacement(candidates, job, generation, nowMs);
@@ -166,6 +161,11 @@
   if (nowMs + expectedMs > job.deadlineAtMs) {
     return reject(RejectionReason.TooLate, expectedMs);
   }
+  const isHeldBack = mayWait && mayYield && !hasPartialLoadView;
+  const held = isHeldBack ? holdForRoom(candidates, job, generation, expectedMs, nowMs) : undefined;
+  if (held !== undefined) {
+    return held;
+  }
   const waitMs = mayWait ? chooseWaitMs(engine, job, choice, nowMs) : 0;
   if (waitMs > 0) {
     return { kind: DecisionKind.Wait, waitMs, cost };
--- a/packages/placement/src/room.ts
+++ b/packages/placement/src/room.ts
@@ -1,11 +1,11 @@
 /**
  * Decides which short prompts get the free places of engines while all but a few are taken.
  *
- * Load pattern: for seconds, short prompts arrive faster than the engines finish answers. A prompt that joins the queue of
- * one engine waits there for the end of an answer, although places become free at other engines meanwhile; it starts late,
- * and so does every later prompt behind it. Prompts therefore wait at the entry for the next free place of any engine.
- * Those that can still meet their target get it; one that cannot any more leaves it to them and is served late once
- * places are to spare, or is rejected if that takes too long.
+ * Load pattern: for seconds, short prompts arrive faster than the engines finish answers. A prompt that is late already
+ * takes the place of one that could be in time, and every later prompt behind it starts late as well. A prompt therefore
+ * joins the queue of an engine only if it is expected to meet its target there; until then it waits at the entry. One that
+ * cannot meet its target any more leaves the places to the others and is served late once places are to spare, or is
+ * rejected if that takes too long.
  *
  * Long prompts are not subject to this. They join the queues of engines, where the next place is then theirs.
  */
@@ -21,14 +21,10 @@
   readonly places: number;
   /** Number of these that no request has taken. */
   readonly freePlaces: number;
-  /** Engines with a free place. */
-  readonly open: readonly RecordedEngine[];
 }
 
 /** Kind of a decision while the engines have few free places. */
 export enum RoomDecisionKind {
-  /** The prompt is placed at one of the given engines. */
-  Admit = 'admit',
   /** The prompt waits for a free place and can still meet its target. */
   Wait = 'wait',
   /** The prompt is too late to meet its target and waits for places to spare. */
@@ -48,7 +44,6 @@
 
 /** A decision while the engines have few free places. */
 export type RoomDecision =
-  | { readonly kind: RoomDecisionKind.Admit; readonly engines: readonly RecordedEngine[] }
   | { readonly kind: RoomDecisionKind.Wait | RoomDecisionKind.Yield; readonly waitMs: number }
   | { readonly kind: RoomDecisionKind.TurnAway; readonly retryAfterMs: number };
 
@@ -65,13 +60,6 @@
 const YIELD_SHARE = 1 / 3;
 /** Interval at which a late prompt is planned again, in milliseconds; no target depends on it any more. */
 const YIELD_INTERVAL_MS = 200;
-/**
- * Time in which each entry has its turn at a free place, in milliseconds, and the share of it that a turn takes. Entries
- * learn milliseconds later that another one has taken a place; without turns, several would send a prompt to each.
- */
-const TURN_PERIOD_MS = 60;
-const TURN_SHARE = 1 / 6;
-
 /**
  * Counts the places of engines.
  *
@@ -81,15 +69,10 @@
  */
 export function surveyRoom(engine: EngineParameters, engines: readonly RecordedEngine[]): Room {
   let freePlaces = 0;
-  const open: RecordedEngine[] = [];
-  for (const candidate of engines) {
-    const free = engine.slots - runningRequests(engine, candidate.load);
-    if (free > 0) {
-      freePlaces += free;
-      open.push(candidate);
-    }
+  for (const { load } of engines) {
+    freePlaces += Math.max(0, engine.slots - runningRequests(engine, load));
   }
-  return { places: engines.length * engine.slots, freePlaces, open };
+  return { places: engines.length * engine.slots, freePlaces };
 }
 
 /**
@@ -126,11 +109,6 @@
   return PASSES_TO_START * passMs + prefillMs(engine, 0, generation.promptTokens);
 }
 
-/** Returns whether it is this entry's turn to take the free place of an engine. */
-function isTurn({ view }: RecordedEngine, nowMs: number): boolean {
-  return (nowMs / TURN_PERIOD_MS + view.affinityPenalty) % 1 < TURN_SHARE;
-}
-
 const HASH_RANGE = 0x1_0000_0000;
 /** Largest share of its time left after which a caller is asked to come back, so that it can still be answered. */
 const MAX_RETURN_SHARE = 1 / 3;
@@ -150,26 +128,26 @@
 /**
  * Decides about a short prompt while free places are scarce.
  *
- * @param room - the places of the engines
- * @param engine - published parameters of the engines
+ * @param engine - published parameters of the engine
  * @param job - the job
  * @param generation - its prompt
+ * @param expectedMs - predicted time to its first event at the best engine, behind the requests that wait there
  * @param nowMs - the current time, in milliseconds
- * @returns the decision
+ * @returns the decision; undefined if the prompt is placed, since it is expected to meet its target
  */
 export function decideRoom(
-  room: Room,
   engine: EngineParameters,
   job: Job,
   generation: Generation,
+  expectedMs: number,
   nowMs: number,
-): RoomDecision {
-  const startsLateAtMs = job.arrivedAtMs + job.targetMs - expectedStartMs(engine, generation);
-  if (nowMs <= startsLateAtMs) {
-    const engines = room.open.filter((candidate) => isTurn(candidate, nowMs));
-    return engines.length > 0
-      ? { kind: RoomDecisionKind.Admit, engines }
-      : { kind: RoomDecisionKind.Wait, waitMs: recheckIntervalMs(job) };
+): RoomDecision | undefined {
+  const targetAtMs = job.arrivedAtMs + job.targetMs;
+  if (nowMs + expectedMs <= targetAtMs) {
+    return undefined;
+  }
+  if (nowMs + expectedStartMs(engine, generation) <= targetAtMs) {
+    return { kind: RoomDecisionKind.Wait, waitMs: recheckIntervalMs(job) };
   }
   const waitEndsAtMs = job.arrivedAtMs + YIELD_SHARE * (job.deadlineAtMs - job.arrivedAtMs);
   return nowMs < waitEndsAtMs
