--- a/packages/placement/src/engine-choice.ts
+++ b/packages/placement/src/engine-choice.ts
@@ -272,6 +272,11 @@
   );
 }
 
+/** Cost of a reduced pace, as a share of the job's value. */
+function paceShare({ pace = 1, state, engine }: EngineCandidate): number {
+  return pace >= 1 ? 0 : paceCost(pace, state.requests.filter(runsRequest).length, engine.slots);
+}
+
 /**
  * Predicts the effect of sending a job to an engine.
  *
@@ -298,10 +303,9 @@
     lossOfOthers > 0
       ? sumLosses(simulatePasses(candidate, state, candidate.jobs, undefined, withJob.endsAtMs).losses)
       : 0;
-  const running = candidate.state.requests.filter(runsRequest).length;
   return {
     server: candidate.server,
-    paceCost: paceCost(candidate.pace ?? 1, running, engine.slots) * jobValue(job),
+    paceCost: paceShare(candidate) * jobValue(job),
     firstEventMs: withJob.firstEventAtMs + candidate.roundTripMs - nowMs,
     ownLoss,
     lossOfOthers: Math.max(0, lossOfOthers - baselineLoss),
