Pace: servers that are back from an evacuation begin at a reduced pace

Cause: the end of an evacuation was not joined with the paces; the servers there are idle and may be cold. Change: a change of the registry that ends an evacuation begins the pace of the ready servers of the data centre, and servers of evacuated data centres are no equals.

--- a/packages/gateway/src/pace-beginnings.ts
+++ b/packages/gateway/src/pace-beginnings.ts
@@ -2,6 +2,8 @@
 import { PaceCause } from '@toucanbend/pace';
 import {
   type BackendServer,
+  evacuatedDataCentres,
+  evacuationsChanged,
   listServers,
   RecordKind,
   type Registry,
@@ -23,7 +25,7 @@
 }
 
 /**
- * Lists the servers that a change shows to have started or turned cold. Nothing is known of the servers of the first listing, so
+ * Lists the servers that a change shows to have started, to have turned cold, or to be back from an evacuation. Nothing is known of the servers of the first listing, so
  * that they have full pace.
  *
  * @param after - the registry after the change
@@ -34,16 +36,16 @@
   if (listServers(before).length === 0) {
     return [];
   }
+  const returned = new Set(evacuationsChanged(after, before).ended);
   return [...after.records].flatMap(([key, record]): PaceBeginning[] => {
     const previous = before.records.get(key);
-    if (
-      record === previous ||
-      record.kind !== RecordKind.Server ||
-      record.value?.state !== ServerState.Ready
-    ) {
+    if (record.kind !== RecordKind.Server || record.value?.state !== ServerState.Ready) {
       return [];
     }
     const { value: server } = record;
+    if (record === previous) {
+      return returned.has(server.dataCentre) ? [{ server, cause: PaceCause.Returned }] : [];
+    }
     const known = previous?.kind === RecordKind.Server ? previous.value : undefined;
     // The record of a run that was known before may have expired; its tombstone does not tell its run.
     const isReturned = known === undefined && previous !== undefined;
@@ -56,7 +58,7 @@
 }
 
 /**
- * Returns the other ready servers of the service of a server.
+ * Returns the other ready servers of the service of a server, outside evacuated data centres.
  *
  * @param registry - the registry
  * @param id - id of the server
@@ -68,9 +70,11 @@
   const name = record?.kind === RecordKind.Server ? record.value?.service : undefined;
   const service = registry.catalogue?.services.find((declared) => declared.name === name);
   const isPaced = mode === PaceMode.On || (mode === PaceMode.Automatic && (service?.coldMs ?? 0) > 0);
+  const evacuated = evacuatedDataCentres(registry);
   return service === undefined || !isPaced
     ? undefined
     : listServers(registry).filter(
-        (server) => server.service === name && server.state === ServerState.Ready && server.id !== id,
+        ({ service: other, state, id: otherId, dataCentre }) =>
+          other === name && state === ServerState.Ready && otherId !== id && !evacuated.has(dataCentre),
       );
 }
--- a/packages/gateway/test/cold-and-paced-servers.test.ts
+++ b/packages/gateway/test/cold-and-paced-servers.test.ts
@@ -65,6 +65,30 @@
     assert.deepEqual(causes(after(first, recordOf('s1', { state: ServerState.Leaving })), first), []);
   });
 
+  it('begins again when its data centre is taken back, and counts no evacuated server as an equal', () => {
+    const evacuation = (isRemoved: boolean): RegistryRecord => {
+      revision += 1;
+      const id = 'bagmati-b';
+      const value = isRemoved ? {} : { value: { dataCentre: id } };
+      return { kind: RecordKind.Evacuation, id, position: { era: 1, revision }, ...value };
+    };
+    const remote = after(first, recordOf('s3', { dataCentre: 'bagmati-b' }));
+    const evacuated = after(remote, evacuation(false));
+    assert.deepEqual(causes(evacuated, remote), []);
+    assert.deepEqual(causes(after(evacuated, evacuation(true)), evacuated), [`s3 ${PaceCause.Returned}`]);
+    const services = [{ name: 'model', maxConnections: 1, engine: undefined, coldMs: 3_000 }];
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const value: Catalogue = { version: 1, routes: [], services, accounts: [], limits };
+    const declared = after(evacuated, {
+      kind: RecordKind.Catalogue,
+      id: 'c',
+      position: { era: 1, revision },
+      value,
+    });
+    const equals = equalsOf(declared, 's1', PaceMode.Automatic)?.map(({ id }) => id);
+    assert.deepEqual(equals, ['s2']);
+  });
+
   it('may be reduced where the deployment says so', () => {
     const catalogue: Catalogue = {
       version: 1,
