Engine model: requests without a reported end leave the model under load too

Cause: the expected length of an unobserved request was calculated anew at each advance from its modelled progress, so that it was never reached while the model was advanced every few passes. Requests of a host that lost power, and those of no known entry, stayed at their engines for the life of the process; their jobs were gone, so no deadline removed them. Change: the length of an unobserved request is fixed when it is marked.

--- a/packages/engine-model/src/engine-state.ts
+++ b/packages/engine-model/src/engine-state.ts
@@ -57,8 +57,10 @@
 }
 
 function startRunning(engine: EngineParameters, request: EngineRequest): RunningRequest {
-  const { prefilledTokens, generatedTokens, answerTokens } = request;
-  const paddedTokens = Math.max(answerTokens, generatedTokens) * (1 + ANSWER_LENGTH_MARGIN);
+  const { prefilledTokens, generatedTokens, answerTokens, isUnobserved } = request;
+  // The modelled progress of an unobserved request says nothing about the length of its answer.
+  const estimatedTokens = isUnobserved === true ? answerTokens : Math.max(answerTokens, generatedTokens);
+  const paddedTokens = estimatedTokens * (1 + ANSWER_LENGTH_MARGIN);
   const expectedTokens = paddedTokens + engine.stepsPerPass;
   return { request, expectedTokens, isAdmitted: false, prefilledTokens, generatedTokens };
 }
@@ -326,9 +328,12 @@
  * @returns a state in which marked requests are removed once their expected answers are complete
  */
 export function markUnobserved(state: EngineState, isUnobserved: (id: string) => boolean): EngineState {
-  const requests = state.requests.map((request) =>
-    isUnobserved(request.id) ? { ...request, isUnobserved: true } : request,
-  );
+  const requests = state.requests.map((request) => {
+    const { id, answerTokens, generatedTokens } = request;
+    return request.isUnobserved !== true && isUnobserved(id)
+      ? { ...request, isUnobserved: true, answerTokens: Math.max(answerTokens, generatedTokens) }
+      : request;
+  });
   return { ...state, requests };
 }
 
--- a/packages/placement/test/load-after-restart.test.ts
+++ b/packages/placement/test/load-after-restart.test.ts
@@ -26,6 +26,13 @@
   }
 }
 
+/** Advances the model of an engine in short steps, as the decisions of a loaded entry do. */
+function advanceOften(tracker: LoadTracker, server: string, untilMs: number): void {
+  for (let nowMs = 0; nowMs <= untilMs; nowMs += 10) {
+    tracker.loadAt(server, engine, nowMs);
+  }
+}
+
 function fill(tracker: LoadTracker, server: string, jobs: number): Job[] {
   const placed = Array.from({ length: jobs }, (_, index) => shortJob(`${server}-${String(index)}`));
   placed.forEach((job) => {
@@ -98,6 +105,16 @@
     assert.equal(tracker.loadAt('a', engine, 10_000).engineState.requests.length, 0);
   });
 
+  it('leave the model also if it is advanced at every pass, as under load', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 2);
+    tracker.loadAt('a', engine, 100);
+    tracker.markUnreachable('entry-1');
+    tracker.dropOwner('entry-1');
+    advanceOften(tracker, 'a', 10_000);
+    assert.equal(tracker.load('a').engineState.requests.length, 0);
+  });
+
   it('end with a process that has closed its connections', () => {
     const tracker = createLoadTracker();
     fill(tracker, 'a', 2);
@@ -142,6 +159,14 @@
     assert.equal(tracker.loadAt('a', engine, 10_000).engineState.requests.length, 0);
   });
 
+  it('the requests of the last report end by themselves also if the model is advanced at every pass', () => {
+    const tracker = createLoadTracker();
+    const load = unattributedLoad('model', { requests: 3, usedTokens: 0 }, tracker.load('a'), 0);
+    tracker.unattributed('a', engine, load, 0);
+    advanceOften(tracker, 'a', 10_000);
+    assert.equal(tracker.load('a').engineState.requests.length, 0);
+  });
+
   it('an absurd count is bounded', () => {
     const encoded = [LoadUpdateKind.Unattributed, 'a', 'model', 1e9, 1e15];
     const update = decodeLoadUpdate(encoded, 0);
