Links: a started entry learns of jobs that ended before updates reach it

Cause: jobs were handed over on the link that the started entry dials, while updates take the link in the other direction, which opens later. The ends in between were never told, so that such jobs held slots in its model until their deadlines, and jobs placed in between were unknown to it. An update of a placement that followed its hand-over added the request twice. Change: the hand-over is repeated on the link that carries updates, with the ends since (job-handover.ts); a process that already gets the updates gets no other hand-over; a placement of a known job leaves the model as it is.

--- a/packages/membership/src/peer-updates.ts
+++ b/packages/membership/src/peer-updates.ts
@@ -1,11 +1,5 @@
 /** Encoding and decoding of the updates that linked entries send one another. */
-import {
-  decodeLoadUpdate,
-  encodeLoadUpdate,
-  type LoadUpdate,
-  LoadUpdateKind,
-  type PlacedRunningJob,
-} from '@toucanbend/placement';
+import { decodeLoadUpdate, type LoadUpdate } from '@toucanbend/placement';
 import {
   decodeQuarantineUpdate,
   encodeQuarantineUpdate,
@@ -72,14 +66,3 @@
     ...restrictions.map((update) => encodeRestrictionUpdate(update, nowMs)),
   ];
 }
-
-/**
- * Encodes the jobs of an entry for an entry that has just started or was cut off.
- *
- * @param jobs - the jobs
- * @param nowMs - the current time, in milliseconds, to which encoded times are relative
- * @returns the encoded updates
- */
-export function encodeRunningJobs(jobs: readonly PlacedRunningJob[], nowMs: number): unknown[] {
-  return jobs.map((job) => encodeLoadUpdate({ kind: LoadUpdateKind.Running, ...job }, nowMs));
-}
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -35,7 +35,8 @@
   parseAddress,
 } from '@toucanbend/wire';
 import { planDials } from './dial-plan.js';
-import { applyUpdate, encodeRunningJobs, encodeState, type UpdateHandlers } from './peer-updates.js';
+import { createJobHandover } from './job-handover.js';
+import { applyUpdate, encodeState, type UpdateHandlers } from './peer-updates.js';
 import { type RegistryHolder } from './registry-holder.js';
 
 /** The links of one entry to all other entries. */
@@ -79,7 +80,7 @@
   readonly quarantinedCauses: () => readonly QuarantinedCause[];
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
   readonly restrictions: () => readonly RestrictionUpdate[];
-  /** Returns the jobs of this entry, which are sent to each entry that dials it. */
+  /** Returns the jobs of this entry, which are sent to each entry that is linked. */
   readonly runningJobs: () => readonly PlacedRunningJob[];
   /** Called when the process of an entry has ended, or a new process has taken its place. */
   readonly onProcessEnded: (name: string) => void;
@@ -119,6 +120,7 @@
 
 class LinkedPeers implements Peers {
   readonly #options: PeersOptions;
+  readonly #handover;
   readonly #pool;
   readonly #endpoint: EndpointOptions;
   #pendingUpdates: ((nowMs: number) => unknown[])[] = [];
@@ -137,7 +139,8 @@
 
   constructor(options: PeersOptions) {
     this.#options = options;
-    const { member, incarnation, peerKeys, clock } = options;
+    const { member, incarnation, peerKeys, clock, runningJobs } = options;
+    this.#handover = createJobHandover(runningJobs);
     this.#endpoint = {
       identity: {
         node: member.name,
@@ -354,19 +357,25 @@
     });
     this.#sendDigest([link]);
     this.#sendState(link);
+    this.#sendLoadUpdates(link, this.#handover.complete(node));
   }
 
   #addAccepted(link: Link): void {
     this.#accepted.add(link);
     link.onEnd(() => {
       this.#accepted.delete(link);
+      if (![...this.#accepted].some(({ peer }) => peer.node === link.peer.node)) {
+        this.#handover.forget(link.peer.node);
+      }
     });
     link.setActive(true);
     this.#receiveFrames(link);
     // This entry may not dial a peer that is not registered yet, so the peer receives its digest on the accepted link.
     this.#sendDigest([link]);
     this.#sendState(link);
-    this.#sendRunningJobs(link);
+    if (!this.#isInformed(link.peer)) {
+      this.#sendLoadUpdates(link, this.#handover.begin(link.peer.node));
+    }
     // A peer that has just started is dialled now instead of at the next periodic check.
     this.#dialMissing();
   }
@@ -386,15 +395,20 @@
     }
   }
 
-  /** Sends the jobs that the peer has no updates of; the peer accepts a link from each entry that it dials as well. */
-  #sendRunningJobs(link: Link): void {
+  #sendLoadUpdates(link: Link, updates: readonly LoadUpdate[]): void {
     const nowMs = this.#options.clock.now();
-    const changes = encodeRunningJobs(this.#options.runningJobs(), nowMs);
-    if (changes.length > 0) {
+    if (updates.length > 0) {
+      const changes = updates.map((update) => encodeLoadUpdate(update, nowMs));
       link.send({ type: FrameType.LoadUpdates, changes });
     }
   }
 
+  /** Returns whether the load updates of this entry are sent to the process that has dialled it. */
+  #isInformed({ node, incarnation }: Link['peer']): boolean {
+    const dialled = this.#dialled.get(node);
+    return dialled?.peer.incarnation === incarnation && dialled.isOpen();
+  }
+
   #mergeRecords(link: Link, values: readonly unknown[], positions: Partial<Positions>): void {
     const { holder, logger } = this.#options;
     const { records, unreadable, firstError } = decodeRecords(values);
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -5,6 +5,7 @@
 import { createRandom, createSystemClock } from '@toucanbend/core';
 import { createPeers, createRegistryHolder, type Peers, type RegistryHolder } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
+import { type LoadUpdate, LoadUpdateKind, type PlacedRunningJob } from '@toucanbend/placement';
 import { type QuarantineUpdate, QuarantineUpdateKind } from '@toucanbend/quarantine';
 import {
   CrashCauseKind,
@@ -62,10 +63,13 @@
   readonly isStoreReachable: boolean;
   readonly quarantined?: readonly QuarantinedCause[];
   readonly restrictions?: readonly RestrictionUpdate[];
+  readonly runningJobs?: () => readonly PlacedRunningJob[];
+  readonly onLoadUpdate?: (from: string, update: LoadUpdate) => void;
 }
 
 async function startEntry(options: EntryOptions): Promise<Entry> {
   const { member, incarnation, seeds, isStoreReachable, quarantined = [], restrictions = [] } = options;
+  const { runningJobs = () => [], onLoadUpdate = ignore } = options;
   const restrictionUpdates: RestrictionUpdate[] = [];
   let resolveRestriction = ignore;
   const whenRestricted = new Promise<void>((resolve) => {
@@ -97,7 +101,7 @@
     random: createRandom(1),
     logger,
     isStoreReachable: () => isStoreReachable,
-    onLoadUpdate: ignore,
+    onLoadUpdate,
     onQuarantineUpdate: (update) => {
       quarantineUpdates.push(update);
       resolveUpdate();
@@ -108,7 +112,7 @@
       resolveRestriction();
     },
     restrictions: () => restrictions,
-    runningJobs: () => [],
+    runningJobs,
     onProcessEnded: (name) => {
       gone.push(name);
       resolveEnded();
@@ -156,6 +160,12 @@
   return { kind: RecordKind.Server, id, position: at(revision), value };
 }
 
+function runningJob(id: string): PlacedRunningJob {
+  const times = { arrivedAtMs: 0, targetMs: 1_000, targetPauseMs: 100, deadlineAtMs: 60_000 };
+  const job = { id, service: 'vanes', generation: undefined, rank: 0, ...times };
+  return { server: 's1', job, prefilledTokens: 0, generatedTokens: 0 };
+}
+
 async function startPair(): Promise<{ reader: Entry; other: Entry }> {
   const [readerAddress, otherAddress] = await Promise.all([freeAddress(), freeAddress()]);
   const member = (name: string, address: string): EntryMember => ({ name, address, dataCentre: 'bagmati-a' });
@@ -266,6 +276,40 @@
     }
   });
 
+  it('tell a started entry of jobs that ended between its link and the first update', async () => {
+    const [first, second] = await Promise.all([freeAddress(), freeAddress()]);
+    const member = (name: string, address: string): EntryMember => ({
+      name,
+      address,
+      dataCentre: 'bagmati-a',
+    });
+    const common = { incarnation: 'i1', isStoreReachable: true };
+    let jobs: readonly PlacedRunningJob[] = [runningJob('job')];
+    const other = await startEntry({
+      member: member('other', first),
+      seeds: [],
+      runningJobs: () => jobs,
+      ...common,
+    });
+    const kinds: LoadUpdateKind[] = [];
+    await new Promise<void>((resolve) => {
+      const onLoadUpdate = (_from: string, { kind }: LoadUpdate): void => {
+        kinds.push(kind);
+        if (kind === LoadUpdateKind.Running) {
+          jobs = [];
+          const value = member('started', second);
+          const record = { kind: RecordKind.Entry as const, id: 'started', position: at(1), value };
+          other.holder.merge([record], { [RecordKind.Entry]: at(1) });
+        } else {
+          resolve();
+        }
+      };
+      const started = { member: member('started', second), seeds: [first], onLoadUpdate, ...common };
+      void startEntry(started);
+    });
+    assert.deepEqual(kinds, [LoadUpdateKind.Running, LoadUpdateKind.Ended]);
+  });
+
   it('report by a new incarnation that a process has ended whose end no link reported', async () => {
     const addresses = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
     const [readerAddress = '', first = '', second = ''] = addresses;
--- a/packages/placement/src/load-tracker.ts
+++ b/packages/placement/src/load-tracker.ts
@@ -178,7 +178,10 @@
         return;
       }
       const state = advanceEngine(slowEngine(engine, previous.slowdown), previous.engineState, atMs);
-      update(server, { jobs, engineState: addRequest(state, newRequest(job.id, job.generation)) });
+      // The hand-over of a job may arrive before the update of its placement.
+      const isKnown = previous.jobs.has(job.id) && state.requests.some(({ id }) => id === job.id);
+      const engineState = isKnown ? state : addRequest(state, newRequest(job.id, job.generation));
+      update(server, { jobs, engineState });
     },
     resumed: (owner, server, engine, { job, prefilledTokens, generatedTokens }, nowMs) => {
       const previous = load(server);
--- a/packages/placement/test/load-after-restart.test.ts
+++ b/packages/placement/test/load-after-restart.test.ts
@@ -68,6 +68,16 @@
     assert.equal(requests[0]?.prefilledTokens, before?.prefilledTokens);
   });
 
+  it('counts a job once whose update follows its hand-over', () => {
+    const other = createLoadTracker();
+    const job = shortJob('short');
+    recordJob(other, 'a', job);
+    const started = createLoadTracker();
+    handOver(other, started, 'entry-1', 0);
+    started.placed('entry-1', 'a', engine, job, 0);
+    assert.equal(started.load('a').engineState.requests.length, 1);
+  });
+
   it('forgets the jobs when they end', () => {
     const other = createLoadTracker();
     const jobs = fill(other, 'a', 3);
