Placement: reports of engines are subtracted by each receiver from what it knows

Cause: the started entry subtracted the jobs that it knew itself and told the others the rest. It reads the reports before its links are open, so that the rest was all running jobs: every other entry, which knew these jobs, counted them twice. The kept requests of a host that lost power were counted again as well, and so were jobs handed over after the report. Change: the update carries the report and its age; each receiver subtracts the jobs that it knows, and the report replaces kept requests of ended processes; a job that is handed over takes the place of a reported request. The test of an absurd count checked the decoded count; as the update now carries the report, it checks the model after the update, also its tokens.

--- a/packages/load-recovery/src/engine-survey.ts
+++ b/packages/load-recovery/src/engine-survey.ts
@@ -132,13 +132,14 @@
         return;
       }
       const asOfMs = clock.now() - REPORT_AGE_MS;
-      const load = unattributedLoad(server.service, report.value, loadTracker.load(server.id), asOfMs);
+      const load = unattributedLoad(report.value, loadTracker.load(server.id), asOfMs);
       if (load.requests > 0) {
         busy.push(server.id);
         requests += load.requests;
       }
       if (load.requests > 0 || number > 1) {
-        broadcast({ kind: LoadUpdateKind.Unattributed, server: server.id, ...load });
+        const { id, service } = server;
+        broadcast({ kind: LoadUpdateKind.Reported, server: id, service, report: report.value, asOfMs });
         const { engine } =
           this.#options.registry().catalogue?.services.find(({ name }) => name === server.service) ?? {};
         loadTracker.unattributed(server.id, engine, load, clock.now());
--- a/packages/placement/src/load-tracker.ts
+++ b/packages/placement/src/load-tracker.ts
@@ -10,6 +10,7 @@
   newRequest,
   observeTokens,
   removeRequest,
+  runsRequest,
   slowEngine,
 } from '@toucanbend/engine-model';
 import {
@@ -22,7 +23,7 @@
 import { type PlacedJob } from './engine-choice.js';
 import { type Job } from './job.js';
 import { type RunningJob } from './load-snapshot.js';
-import { type UnattributedLoad, withUnattributed } from './unattributed-load.js';
+import { type UnattributedLoad, withoutOneUnattributed, withUnattributed } from './unattributed-load.js';
 
 /** Recorded load of one server. */
 export interface ServerLoad {
@@ -195,13 +196,14 @@
       }
       const state = advanceEngine(slowEngine(engine, previous.slowdown), previous.engineState, nowMs);
       const request = { ...newRequest(job.id, job.generation), prefilledTokens, generatedTokens };
-      update(server, { jobs, engineState: addRequest(state, request) });
+      const others = runsRequest(job.generation) ? withoutOneUnattributed(state) : state;
+      update(server, { jobs, engineState: addRequest(others, request) });
     },
     unattributed: (server, engine, reported, nowMs) => {
       if (engine !== undefined) {
-        const { slowdown, engineState } = load(server);
+        const { jobs, slowdown, engineState } = load(server);
         const state = advanceEngine(slowEngine(engine, slowdown), engineState, nowMs);
-        update(server, { engineState: withUnattributed(engine, state, reported) });
+        update(server, { engineState: withUnattributed(engine, state, reported, (id) => jobs.has(id)) });
       }
     },
     observed: (server, engine, event) => {
--- a/packages/placement/src/load-update.ts
+++ b/packages/placement/src/load-update.ts
@@ -9,7 +9,7 @@
 import { type Job } from './job.js';
 import { type RunningJob } from './load-snapshot.js';
 import { type LoadTracker } from './load-tracker.js';
-import { MAX_UNATTRIBUTED_REQUESTS, type UnattributedLoad } from './unattributed-load.js';
+import { type EngineReport, unattributedLoad } from './unattributed-load.js';
 
 export enum LoadUpdateKind {
   Placed = 0,
@@ -18,8 +18,8 @@
   Failed = 2,
   /** A job that was placed before the receiver was linked, with its progress. */
   Running = 3,
-  /** Requests that an engine reports and that no entry has recorded. */
-  Unattributed = 4,
+  /** What an engine reports about its load; each receiver subtracts the jobs that it knows. */
+  Reported = 4,
 }
 
 /** A load update. Its encoded times are relative to the time of encoding, since the clocks of hosts differ. */
@@ -34,7 +34,14 @@
   | { readonly kind: LoadUpdateKind.Ended; readonly server: string; readonly jobId: string }
   | { readonly kind: LoadUpdateKind.Failed; readonly server: string }
   | ({ readonly kind: LoadUpdateKind.Running; readonly server: string } & RunningJob)
-  | ({ readonly kind: LoadUpdateKind.Unattributed; readonly server: string } & UnattributedLoad);
+  | {
+      readonly kind: LoadUpdateKind.Reported;
+      readonly server: string;
+      readonly service: string;
+      readonly report: EngineReport;
+      /** Time that the report describes, by the clock of this process. */
+      readonly asOfMs: number;
+    };
 
 /** Maximum number of tokens of a prompt or an answer; several times the memory of an engine. */
 const MAX_TOKENS = 10_000_000;
@@ -71,14 +78,15 @@
 const endedSchema = z.tuple([z.literal(LoadUpdateKind.Ended), z.string(), z.string()]);
 const failedSchema = z.tuple([z.literal(LoadUpdateKind.Failed), z.string()]);
 const runningSchema = z.tuple([z.literal(LoadUpdateKind.Running), number, number, placedSchema]);
-const unattributedSchema = z.tuple([
-  z.literal(LoadUpdateKind.Unattributed),
+const reportedSchema = z.tuple([
+  z.literal(LoadUpdateKind.Reported),
   z.string(),
   z.string(),
   number,
   number,
+  number,
 ]);
-const updateSchema = z.union([placedSchema, endedSchema, failedSchema, runningSchema, unattributedSchema]);
+const updateSchema = z.union([placedSchema, endedSchema, failedSchema, runningSchema, reportedSchema]);
 
 /** Limits a time relative to the present, in milliseconds. */
 function clampRelative(value: number): number {
@@ -127,9 +135,16 @@
       const { kind, server, job, prefilledTokens, generatedTokens } = update;
       return [kind, prefilledTokens, generatedTokens, encodePlaced(server, job, nowMs, nowMs)];
     }
-    case LoadUpdateKind.Unattributed: {
-      const { kind, server, service, requests, promptTokens } = update;
-      return [kind, server, service, requests, Math.round(promptTokens)];
+    case LoadUpdateKind.Reported: {
+      const { kind, server, service, report, asOfMs } = update;
+      return [
+        kind,
+        server,
+        service,
+        report.requests,
+        Math.round(report.usedTokens),
+        Math.round(nowMs - asOfMs),
+      ];
     }
   }
 }
@@ -210,14 +225,14 @@
         generatedTokens: clamp(generatedTokens, 0, MAX_TOKENS),
       };
     }
-    case LoadUpdateKind.Unattributed: {
-      const [kind, server, service, requests, promptTokens] = fields;
+    case LoadUpdateKind.Reported: {
+      const [kind, server, service, requests, usedTokens, ageMs] = fields;
       return {
         kind,
         server,
         service,
-        requests: clamp(Math.round(requests), 0, MAX_UNATTRIBUTED_REQUESTS),
-        promptTokens: clamp(promptTokens, 0, MAX_TOKENS),
+        report: { requests: Math.max(0, Math.round(requests)), usedTokens: clamp(usedTokens, 0, MAX_TOKENS) },
+        asOfMs: nowMs - clamp(ageMs, 0, MAX_SENT_AGO_MS),
       };
     }
   }
@@ -255,8 +270,11 @@
     case LoadUpdateKind.Running:
       tracker.resumed(sender, update.server, engineOf(update.job.service), update, nowMs);
       break;
-    case LoadUpdateKind.Unattributed:
-      tracker.unattributed(update.server, engineOf(update.service), update, nowMs);
+    case LoadUpdateKind.Reported: {
+      const { server, service, report, asOfMs } = update;
+      const load = unattributedLoad(report, tracker.load(server), asOfMs);
+      tracker.unattributed(server, engineOf(service), load, nowMs);
       break;
+    }
   }
 }
--- a/packages/placement/src/unattributed-load.ts
+++ b/packages/placement/src/unattributed-load.ts
@@ -15,7 +15,6 @@
 
 /** Requests at an engine that no entry has recorded. */
 export interface UnattributedLoad {
-  readonly service: string;
   /** Number of requests, running or queued. */
   readonly requests: number;
   /** Memory that they occupy together, in tokens. */
@@ -42,18 +41,12 @@
 /**
  * Returns the part of a reported load that the known jobs do not explain.
  *
- * @param service - the service of the engine
  * @param report - what the engine reports
  * @param load - recorded load of the engine
  * @param asOfMs - time that the report describes, in milliseconds; jobs that arrived later are not in it
  * @returns the requests of no known entry
  */
-export function unattributedLoad(
-  service: string,
-  report: EngineReport,
-  load: ServerLoad,
-  asOfMs: number,
-): UnattributedLoad {
+export function unattributedLoad(report: EngineReport, load: ServerLoad, asOfMs: number): UnattributedLoad {
   let known = 0;
   let knownTokens = 0;
   for (const { job } of load.jobs.values()) {
@@ -65,26 +58,27 @@
   }
   const requests = Math.max(0, report.requests - known);
   return {
-    service,
     requests: Math.min(MAX_UNATTRIBUTED_REQUESTS, requests),
     promptTokens: requests === 0 ? 0 : Math.max(0, report.usedTokens - knownTokens),
   };
 }
 
 /**
- * Replaces the requests of earlier reports in the modelled state of an engine.
+ * Replaces the requests of earlier reports in the modelled state of an engine, and those of ended processes.
  *
  * @param engine - parameters of the engine
  * @param state - state at the time of the report
  * @param load - the reported requests of no known entry
+ * @param isJob - returns whether the request with an id belongs to a recorded job
  * @returns the state with these requests, which generate tokens until they are expected to end
  */
 export function withUnattributed(
   engine: EngineParameters,
   state: EngineState,
   load: UnattributedLoad,
+  isJob: (id: string) => boolean,
 ): EngineState {
-  const own = state.requests.filter(({ id }) => !id.startsWith(ID_PREFIX));
+  const own = state.requests.filter(({ id }) => isJob(id));
   const promptTokens = Math.floor(load.promptTokens / Math.max(1, load.requests));
   const answerTokens = Math.ceil(UNATTRIBUTED_MS / Math.max(engine.stepMs, Number.EPSILON));
   const added = Array.from({ length: load.requests }, (_, index) => ({
@@ -98,3 +92,14 @@
   // They came first, so that they hold their slots and memory.
   return { ...state, requests: [...added, ...own] };
 }
+
+/**
+ * Removes one of the requests of the last report, which turns out to belong to a job.
+ *
+ * @param state - the modelled state of the engine
+ * @returns the state without that request; as it is if there is none
+ */
+export function withoutOneUnattributed(state: EngineState): EngineState {
+  const index = state.requests.findIndex(({ id }) => id.startsWith(ID_PREFIX));
+  return index < 0 ? state : { ...state, requests: state.requests.toSpliced(index, 1) };
+}
--- a/packages/placement/test/load-after-restart.test.ts
+++ b/packages/placement/test/load-after-restart.test.ts
@@ -5,6 +5,7 @@
   createLoadTracker,
   decodeLoadUpdate,
   encodeLoadUpdate,
+  type EngineReport,
   type Job,
   type LoadTracker,
   LoadUpdateKind,
@@ -26,6 +27,20 @@
   }
 }
 
+/** Receives a report that another entry has read. */
+function receiveReport(tracker: LoadTracker, report: EngineReport, nowMs: number): void {
+  const reported = {
+    kind: LoadUpdateKind.Reported,
+    server: 'a',
+    service: 'model',
+    report,
+    asOfMs: nowMs,
+  } as const;
+  const update = decodeLoadUpdate(encodeLoadUpdate(reported, nowMs), nowMs);
+  assert.ok(update !== undefined);
+  applyLoadUpdate(tracker, restrictions, 'entry-2', update, () => engine, nowMs);
+}
+
 /** Advances the model of an engine in short steps, as the decisions of a loaded entry do. */
 function advanceOften(tracker: LoadTracker, server: string, untilMs: number): void {
   for (let nowMs = 0; nowMs <= untilMs; nowMs += 10) {
@@ -138,7 +153,7 @@
 
   it('requests go to the engines that report no others', () => {
     const tracker = createLoadTracker();
-    const load = unattributedLoad('model', busy, tracker.load('a'), 0);
+    const load = unattributedLoad(busy, tracker.load('a'), 0);
     tracker.unattributed('a', engine, load, 0);
     for (let index = 0; index < engine.slots / 2; index += 1) {
       const job = shortJob(`own-${String(index)}`);
@@ -152,7 +167,7 @@
     const tracker = createLoadTracker();
     recordJob(tracker, 'a', shortJob('known', 100), 100);
     recordJob(tracker, 'a', shortJob('later', 500), 500);
-    const load = unattributedLoad('model', { requests: 3, usedTokens: 15_000 }, tracker.load('a'), 300);
+    const load = unattributedLoad({ requests: 3, usedTokens: 15_000 }, tracker.load('a'), 300);
     assert.equal(load.requests, 2);
     assert.equal(load.promptTokens, 10_000);
   });
@@ -160,7 +175,7 @@
   it('a later report replaces an earlier one, and the last one ends by itself', () => {
     const tracker = createLoadTracker();
     const report = (requests: number): void => {
-      const load = unattributedLoad('model', { requests, usedTokens: 0 }, tracker.load('a'), 0);
+      const load = unattributedLoad({ requests, usedTokens: 0 }, tracker.load('a'), 0);
       tracker.unattributed('a', engine, load, 0);
     };
     report(5);
@@ -171,15 +186,42 @@
 
   it('the requests of the last report end by themselves also if the model is advanced at every pass', () => {
     const tracker = createLoadTracker();
-    const load = unattributedLoad('model', { requests: 3, usedTokens: 0 }, tracker.load('a'), 0);
+    const load = unattributedLoad({ requests: 3, usedTokens: 0 }, tracker.load('a'), 0);
     tracker.unattributed('a', engine, load, 0);
     advanceOften(tracker, 'a', 10_000);
     assert.equal(tracker.load('a').engineState.requests.length, 0);
   });
 
-  it('an absurd count is bounded', () => {
-    const encoded = [LoadUpdateKind.Unattributed, 'a', 'model', 1e9, 1e15];
-    const update = decodeLoadUpdate(encoded, 0);
-    assert.ok(update?.kind === LoadUpdateKind.Unattributed && update.requests <= 64);
+  it('an entry that knows the jobs at an engine adds nothing by the report that another entry has read', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 3);
+    receiveReport(tracker, { requests: 3, usedTokens: 15_000 }, 500);
+    assert.equal(tracker.load('a').engineState.requests.length, 3);
+  });
+
+  it('the kept requests of a host that lost power are not counted twice', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 3);
+    tracker.markUnreachable('entry-1');
+    tracker.dropOwner('entry-1');
+    receiveReport(tracker, { requests: 3, usedTokens: 15_000 }, 50);
+    assert.equal(tracker.load('a').engineState.requests.length, 3);
+  });
+
+  it('a job that is handed over after the report is not counted twice', () => {
+    const other = createLoadTracker();
+    fill(other, 'a', 3);
+    const started = createLoadTracker();
+    receiveReport(started, { requests: 3, usedTokens: 15_000 }, 0);
+    handOver(other, started, 'entry-1', 0);
+    assert.equal(started.load('a').engineState.requests.length, 3);
+  });
+
+  it('an absurd report is bounded', () => {
+    const tracker = createLoadTracker();
+    receiveReport(tracker, { requests: 1e9, usedTokens: 1e15 }, 0);
+    const { requests } = tracker.load('a').engineState;
+    assert.ok(requests.length > 0 && requests.length <= 64);
+    assert.ok(requests.every(({ promptTokens }) => promptTokens <= 10_000_000));
   });
 });
