Placement: the list of running jobs looks only at this entry's requests

Cause: the hand-over built a table of all requests of every server for each link that opens. Change: a request is looked up only for a job of this entry.

--- a/packages/placement/src/load-snapshot.ts
+++ b/packages/placement/src/load-snapshot.ts
@@ -28,13 +28,9 @@
  */
 export function runningJobsOf(loads: ReadonlyMap<string, ServerLoad>, owner: string): PlacedRunningJob[] {
   return [...loads].flatMap(([server, { jobs, engineState }]) => {
-    const requests = new Map(engineState.requests.map((request) => [request.id, request]));
-    return [...jobs.values()].flatMap((placed): PlacedRunningJob[] => {
-      if (placed.owner !== owner) {
-        return [];
-      }
-      const { job } = placed;
-      const request = requests.get(job.id);
+    const own = [...jobs.values()].filter((placed) => placed.owner === owner);
+    return own.flatMap(({ job }): PlacedRunningJob[] => {
+      const request = engineState.requests.find(({ id }) => id === job.id);
       if (job.generation !== undefined && request === undefined) {
         return [];
       }
