Load recovery: the count of unattributed requests is 0 once the survey has ended

Cause: the metric kept the last count for the life of the process if an engine was still busy in the twelfth round. Change: the count is cleared after the last log line; a long comment line of drain.ts is wrapped. Result: the extended test of the endless engine failed before (1 for 0), green now.

--- a/packages/gateway/src/drain.ts
+++ b/packages/gateway/src/drain.ts
@@ -45,8 +45,9 @@
 }
 
 /**
- * Waits until the load balancer has stopped sending connections and no connection is in use at two checks in a row, or until the grace period is nearly over. A connection is in use until the answer to its request has
- * been handed to the operating system.
+ * Waits until the load balancer has stopped sending connections and no connection is in use at two checks in a row, or until
+ * the grace period is nearly over. A connection is in use until the answer to its request has been handed to the operating
+ * system.
  *
  * @param options - dependencies and callbacks
  * @returns a promise that resolves when the process may end
--- a/packages/load-recovery/src/engine-survey.ts
+++ b/packages/load-recovery/src/engine-survey.ts
@@ -54,7 +54,7 @@
 export interface EngineSurvey {
   /** Begins the survey if the engines and the entries are known; no effect if it has begun. */
   begin(): void;
-  /** Returns the number of requests of no known entry in the last round. */
+  /** Returns the number of requests of no known entry in the last round; 0 once the survey has ended. */
   unattributedCount(): number;
 }
 
@@ -117,6 +117,7 @@
       });
     } else {
       logger.info('engine survey ended', { rounds: number, unattributed: requests });
+      this.#unattributed = 0;
     }
   }
 
--- a/packages/load-recovery/test/engine-survey.test.ts
+++ b/packages/load-recovery/test/engine-survey.test.ts
@@ -144,5 +144,6 @@
       clock.advance(1_000);
     }
     assert.ok(read.length <= 12);
+    assert.equal(created.unattributedCount(), 0);
   });
 });
