Placement: jobs handed over to an entry that was cut off are observed again

Cause: an entry that was cut off takes the requests of the others out of its model when they are expected to end. The hand-over after the link is back had no effect on known jobs, so that requests that still ran stayed out, and the others left at their expected end although their ends were reported again. Change: a handed-over job replaces a request that was not observed, and is added again if it had left the model.

--- a/packages/placement/src/load-tracker.ts
+++ b/packages/placement/src/load-tracker.ts
@@ -4,6 +4,7 @@
   addRequest,
   advanceEngine,
   type EngineParameters,
+  type EngineRequest,
   type EngineState,
   idleEngine,
   markUnobserved,
@@ -64,7 +65,10 @@
   loadAt(server: string, engine: EngineParameters, nowMs: number): ServerLoad;
   /** Records that an entry has sent a job to a server. */
   placed(owner: string, server: string, engine: EngineParameters | undefined, job: Job, atMs: number): void;
-  /** Records a job that another entry placed before it was linked; no effect if it is known. */
+  /**
+   * Records a job that another entry placed before it was linked, with its progress. A job that is known and whose end was
+   * expected to go unreported is observed again.
+   */
   resumed(
     owner: string,
     server: string,
@@ -130,6 +134,15 @@
   return placed.isLate || isPauseLate || isStartLate;
 }
 
+/** Returns the state of an engine with a request that was handed over, in place of one that was not observed. */
+function withResumed(state: EngineState, request: EngineRequest, isKnownJob: boolean): EngineState {
+  if (state.requests.some(({ id }) => id === request.id)) {
+    const requests = state.requests.map((other) => (other.id === request.id ? request : other));
+    return { ...state, requests };
+  }
+  return addRequest(isKnownJob || !runsRequest(request) ? state : withoutOneUnattributed(state), request);
+}
+
 /**
  * Creates a load tracker without recorded load.
  *
@@ -186,18 +199,21 @@
     },
     resumed: (owner, server, engine, { job, prefilledTokens, generatedTokens }, nowMs) => {
       const previous = load(server);
-      if (previous.jobs.has(job.id)) {
+      const known = previous.jobs.get(job.id);
+      const isObserved = previous.engineState.requests.some(
+        ({ id, isUnobserved }) => id === job.id && isUnobserved !== true,
+      );
+      if (known !== undefined && (isObserved || job.generation === undefined)) {
         return;
       }
-      const jobs = new Map(previous.jobs).set(job.id, { job, owner, isLate: false });
+      const jobs = new Map(previous.jobs).set(job.id, known ?? { job, owner, isLate: false });
       if (engine === undefined || job.generation === undefined) {
         update(server, { jobs });
         return;
       }
       const state = advanceEngine(slowEngine(engine, previous.slowdown), previous.engineState, nowMs);
       const request = { ...newRequest(job.id, job.generation), prefilledTokens, generatedTokens };
-      const others = runsRequest(job.generation) ? withoutOneUnattributed(state) : state;
-      update(server, { jobs, engineState: addRequest(others, request) });
+      update(server, { jobs, engineState: withResumed(state, request, known !== undefined) });
     },
     unattributed: (server, engine, reported, nowMs) => {
       if (engine !== undefined) {
--- a/packages/placement/test/load-after-restart.test.ts
+++ b/packages/placement/test/load-after-restart.test.ts
@@ -105,6 +105,24 @@
     assert.equal(started.load('a').engineState.requests.length, 0);
   });
 
+  it('regains the jobs that left its model while it was cut off, until their ends are reported', () => {
+    const other = createLoadTracker();
+    const cutOff = createLoadTracker();
+    for (const tracker of [other, cutOff]) {
+      recordJob(tracker, 'a', shortJob('long answer'));
+    }
+    cutOff.markUnreachable('entry-1');
+    for (const nowMs of [5, 10_000]) {
+      other.loadAt('a', engine, nowMs);
+      cutOff.loadAt('a', engine, nowMs);
+      handOver(other, cutOff, 'entry-1', nowMs);
+      assert.equal(cutOff.load('a').engineState.requests.length, 1);
+      cutOff.loadAt('a', engine, nowMs + 5_000);
+      assert.equal(cutOff.load('a').engineState.requests.length, 1);
+      cutOff.markUnreachable('entry-1');
+    }
+  });
+
   it('is not told of the jobs of third entries', () => {
     const other = createLoadTracker();
     other.placed('entry-2', 'a', engine, shortJob('third'), 0);
