Placement: a report above the memory of an engine does not fill its model for minutes

Cause: the reported tokens were bounded by 10 million only, so that the model admitted one of 64 requests at a time; 57 were left after 10 s. Change: the tokens are bounded by the memory of the engine. Result: the extended test of the absurd report failed before (57 for 0), green now.

--- a/packages/placement/src/unattributed-load.ts
+++ b/packages/placement/src/unattributed-load.ts
@@ -79,7 +79,8 @@
   isJob: (id: string) => boolean,
 ): EngineState {
   const own = state.requests.filter(({ id }) => isJob(id));
-  const promptTokens = Math.floor(load.promptTokens / Math.max(1, load.requests));
+  const usedTokens = Math.min(load.promptTokens, engine.memoryTokens);
+  const promptTokens = Math.floor(usedTokens / Math.max(1, load.requests));
   const answerTokens = Math.ceil(UNATTRIBUTED_MS / Math.max(engine.stepMs, Number.EPSILON));
   const added = Array.from({ length: load.requests }, (_, index) => ({
     id: `${ID_PREFIX}${String(index)}`,
