--- a/packages/load-recovery/src/engine-survey.ts
+++ b/packages/load-recovery/src/engine-survey.ts
@@ -54,7 +54,7 @@
 export interface EngineSurvey {
   /** Begins the survey if the engines and the entries are known; no effect if it has begun. */
   begin(): void;
-  /** Returns the number of requests of no known entry in the last round. */
+  /** Returns the number of requests of no known entry in the last round; 0 once the survey has ended. */
   unattributedCount(): number;
 }
 
@@ -117,6 +117,7 @@
       });
     } else {
       logger.info('engine survey ended', { rounds: number, unattributed: requests });
+      this.#unattributed = 0;
     }
   }
 
@@ -132,13 +133,14 @@
         return;
       }
       const asOfMs = clock.now() - REPORT_AGE_MS;
-      const load = unattributedLoad(server.service, report.value, loadTracker.load(server.id), asOfMs);
+      const load = unattributedLoad(report.value, loadTracker.load(server.id), asOfMs);
       if (load.requests > 0) {
         busy.push(server.id);
         requests += load.requests;
       }
       if (load.requests > 0 || number > 1) {
-        broadcast({ kind: LoadUpdateKind.Unattributed, server: server.id, ...load });
+        const { id, service } = server;
+        broadcast({ kind: LoadUpdateKind.Reported, server: id, service, report: report.value, asOfMs });
         const { engine } =
           this.#options.registry().catalogue?.services.find(({ name }) => name === server.service) ?? {};
         loadTracker.unattributed(server.id, engine, load, clock.now());
--- a/packages/placement/test/load-after-restart.test.ts
+++ b/packages/placement/test/load-after-restart.test.ts
@@ -5,6 +5,7 @@
   createLoadTracker,
   decodeLoadUpdate,
   encodeLoadUpdate,
+  type EngineReport,
   type Job,
   type LoadTracker,
   LoadUpdateKind,
@@ -26,6 +27,27 @@
   }
 }
 
+/** Receives a report that another entry has read. */
+function receiveReport(tracker: LoadTracker, report: EngineReport, nowMs: number): void {
+  const reported = {
+    kind: LoadUpdateKind.Reported,
+    server: 'a',
+    service: 'model',
+    report,
+    asOfMs: nowMs,
+  } as const;
+  const update = decodeLoadUpdate(encodeLoadUpdate(reported, nowMs), nowMs);
+  assert.ok(update !== undefined);
+  applyLoadUpdate(tracker, restrictions, 'entry-2', update, () => engine, nowMs);
+}
+
+/** Advances the model of an engine in short steps, as the decisions of a loaded entry do. */
+function advanceOften(tracker: LoadTracker, server: string, untilMs: number): void {
+  for (let nowMs = 0; nowMs <= untilMs; nowMs += 10) {
+    tracker.loadAt(server, engine, nowMs);
+  }
+}
+
 function fill(tracker: LoadTracker, server: string, jobs: number): Job[] {
   const placed = Array.from({ length: jobs }, (_, index) => shortJob(`${server}-${String(index)}`));
   placed.forEach((job) => {
@@ -61,6 +83,16 @@
     assert.equal(requests[0]?.prefilledTokens, before?.prefilledTokens);
   });
 
+  it('counts a job once whose update follows its hand-over', () => {
+    const other = createLoadTracker();
+    const job = shortJob('short');
+    recordJob(other, 'a', job);
+    const started = createLoadTracker();
+    handOver(other, started, 'entry-1', 0);
+    started.placed('entry-1', 'a', engine, job, 0);
+    assert.equal(started.load('a').engineState.requests.length, 1);
+  });
+
   it('forgets the jobs when they end', () => {
     const other = createLoadTracker();
     const jobs = fill(other, 'a', 3);
@@ -73,6 +105,24 @@
     assert.equal(started.load('a').engineState.requests.length, 0);
   });
 
+  it('regains the jobs that left its model while it was cut off, until their ends are reported', () => {
+    const other = createLoadTracker();
+    const cutOff = createLoadTracker();
+    for (const tracker of [other, cutOff]) {
+      recordJob(tracker, 'a', shortJob('long answer'));
+    }
+    cutOff.markUnreachable('entry-1');
+    for (const nowMs of [5, 10_000]) {
+      other.loadAt('a', engine, nowMs);
+      cutOff.loadAt('a', engine, nowMs);
+      handOver(other, cutOff, 'entry-1', nowMs);
+      assert.equal(cutOff.load('a').engineState.requests.length, 1);
+      cutOff.loadAt('a', engine, nowMs + 5_000);
+      assert.equal(cutOff.load('a').engineState.requests.length, 1);
+      cutOff.markUnreachable('entry-1');
+    }
+  });
+
   it('is not told of the jobs of third entries', () => {
     const other = createLoadTracker();
     other.placed('entry-2', 'a', engine, shortJob('third'), 0);
@@ -98,6 +148,16 @@
     assert.equal(tracker.loadAt('a', engine, 10_000).engineState.requests.length, 0);
   });
 
+  it('leave the model also if it is advanced at every pass, as under load', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 2);
+    tracker.loadAt('a', engine, 100);
+    tracker.markUnreachable('entry-1');
+    tracker.dropOwner('entry-1');
+    advanceOften(tracker, 'a', 10_000);
+    assert.equal(tracker.load('a').engineState.requests.length, 0);
+  });
+
   it('end with a process that has closed its connections', () => {
     const tracker = createLoadTracker();
     fill(tracker, 'a', 2);
@@ -111,7 +171,7 @@
 
   it('requests go to the engines that report no others', () => {
     const tracker = createLoadTracker();
-    const load = unattributedLoad('model', busy, tracker.load('a'), 0);
+    const load = unattributedLoad(busy, tracker.load('a'), 0);
     tracker.unattributed('a', engine, load, 0);
     for (let index = 0; index < engine.slots / 2; index += 1) {
       const job = shortJob(`own-${String(index)}`);
@@ -125,7 +185,7 @@
     const tracker = createLoadTracker();
     recordJob(tracker, 'a', shortJob('known', 100), 100);
     recordJob(tracker, 'a', shortJob('later', 500), 500);
-    const load = unattributedLoad('model', { requests: 3, usedTokens: 15_000 }, tracker.load('a'), 300);
+    const load = unattributedLoad({ requests: 3, usedTokens: 15_000 }, tracker.load('a'), 300);
     assert.equal(load.requests, 2);
     assert.equal(load.promptTokens, 10_000);
   });
@@ -133,7 +193,7 @@
   it('a later report replaces an earlier one, and the last one ends by itself', () => {
     const tracker = createLoadTracker();
     const report = (requests: number): void => {
-      const load = unattributedLoad('model', { requests, usedTokens: 0 }, tracker.load('a'), 0);
+      const load = unattributedLoad({ requests, usedTokens: 0 }, tracker.load('a'), 0);
       tracker.unattributed('a', engine, load, 0);
     };
     report(5);
@@ -142,9 +202,46 @@
     assert.equal(tracker.loadAt('a', engine, 10_000).engineState.requests.length, 0);
   });
 
-  it('an absurd count is bounded', () => {
-    const encoded = [LoadUpdateKind.Unattributed, 'a', 'model', 1e9, 1e15];
-    const update = decodeLoadUpdate(encoded, 0);
-    assert.ok(update?.kind === LoadUpdateKind.Unattributed && update.requests <= 64);
+  it('the requests of the last report end by themselves also if the model is advanced at every pass', () => {
+    const tracker = createLoadTracker();
+    const load = unattributedLoad({ requests: 3, usedTokens: 0 }, tracker.load('a'), 0);
+    tracker.unattributed('a', engine, load, 0);
+    advanceOften(tracker, 'a', 10_000);
+    assert.equal(tracker.load('a').engineState.requests.length, 0);
+  });
+
+  it('an entry that knows the jobs at an engine adds nothing by the report that another entry has read', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 3);
+    receiveReport(tracker, { requests: 3, usedTokens: 15_000 }, 500);
+    assert.equal(tracker.load('a').engineState.requests.length, 3);
+  });
+
+  it('the kept requests of a host that lost power are not counted twice', () => {
+    const tracker = createLoadTracker();
+    fill(tracker, 'a', 3);
+    tracker.markUnreachable('entry-1');
+    tracker.dropOwner('entry-1');
+    receiveReport(tracker, { requests: 3, usedTokens: 15_000 }, 50);
+    assert.equal(tracker.load('a').engineState.requests.length, 3);
+  });
+
+  it('a job that is handed over after the report is not counted twice', () => {
+    const other = createLoadTracker();
+    fill(other, 'a', 3);
+    const started = createLoadTracker();
+    receiveReport(started, { requests: 3, usedTokens: 15_000 }, 0);
+    handOver(other, started, 'entry-1', 0);
+    assert.equal(started.load('a').engineState.requests.length, 3);
+  });
+
+  it('an absurd report is bounded', () => {
+    const tracker = createLoadTracker();
+    receiveReport(tracker, { requests: 1e9, usedTokens: 1e15 }, 0);
+    const { requests } = tracker.load('a').engineState;
+    assert.ok(requests.length > 0 && requests.length <= 64);
+    assert.ok(requests.every(({ promptTokens }) => promptTokens <= engine.memoryTokens));
+    advanceOften(tracker, 'a', 10_000);
+    assert.equal(tracker.load('a').engineState.requests.length, 0);
   });
 });
