Entries bound what clients outside the limits can occupy, at each port

Cause: Node's HTTP server parses a whole piece of input at once, 64 kB or 3,600 short requests, and no limit applied before; each body was bounded, but not all together; what followed a refused body was still read and parsed; a body in chunks of one byte held the event loop for each whole piece. Readiness and operators' ports had no limits.

Change: the input of a connection is handed to Node's server one head at a time and in turns; 8 requests of a connection are read ahead, and the rest waits, first in the process (64 kB, 16 MiB for all), then with the client. Bodies share 24 MiB; an oversized body is refused from its head, and a refusal closes the connection so that the answer can be read.

Existing test changed: caller-connections.test takes `whenEarlierEnded` from what `received` now returns; its checks are the same.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Types and utilities that the other packages share. */
+export * from './block-buffer.js';
 export * from './byte-buffer.js';
 export * from './clamped-number.js';
 export * from './clock.js';
--- a/packages/forwarding/src/answer-memory.ts
+++ b/packages/forwarding/src/answer-memory.ts
@@ -5,24 +5,7 @@
  * the memory of the host.
  */
 
-/** Memory for the answers that are held until they are complete, or until their callers have read them. */
-export interface AnswerMemory {
-  /** Creates the account of one request. */
-  open(): AnswerAccount;
-}
-
-/** The memory that the answers of one request occupy. */
-export interface AnswerAccount {
-  /**
-   * Takes memory.
-   *
-   * @param bytes - number of bytes
-   * @returns false if there is none left; short answers always have some
-   */
-  tryTake(bytes: number): boolean;
-  /** Gives all memory back; further calls have no effect. */
-  close(): void;
-}
+import { createRequestMemory, type RequestMemory } from './request-memory.js';
 
 /** Limit on one answer that is held in bytes. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -36,28 +19,6 @@
  *
  * @returns the memory, of which nothing is taken
  */
-export function createAnswerMemory(): AnswerMemory {
-  let heldBytes = 0;
-  return {
-    open: () => {
-      let ownBytes = 0;
-      let isClosed = false;
-      return {
-        tryTake: (bytes) => {
-          if (isClosed || (ownBytes + bytes > FREE_BYTES && heldBytes + bytes > MAX_HELD_BYTES)) {
-            return false;
-          }
-          ownBytes += bytes;
-          heldBytes += bytes;
-          return true;
-        },
-        close: () => {
-          if (!isClosed) {
-            isClosed = true;
-            heldBytes -= ownBytes;
-          }
-        },
-      };
-    },
-  };
+export function createAnswerMemory(): RequestMemory {
+  return createRequestMemory(MAX_HELD_BYTES, FREE_BYTES);
 }
--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -2,10 +2,11 @@
 import { type ServerResponse } from 'node:http';
 import { type ByteBuffer, createByteBuffer, Outcome } from '@toucanbend/core';
 import { RejectionReason } from '@toucanbend/placement';
-import { type AnswerAccount, MAX_ANSWER_BYTES } from './answer-memory.js';
+import { MAX_ANSWER_BYTES } from './answer-memory.js';
 import { BODILESS_STATUSES } from './attempt.js';
 import { type RawHeaders } from './dialect.js';
 import { headersByName } from './headers.js';
+import { type RequestAccount } from './request-memory.js';
 
 /** The reason for the end of a request. */
 export enum EndReason {
@@ -145,7 +146,7 @@
 export function createCallerAnswer(
   response: ServerResponse,
   isDraining: () => boolean,
-  memory: AnswerAccount,
+  memory: RequestAccount,
 ): CallerAnswer {
   response.once('close', memory.close.bind(memory));
   let kept: KeptStream | undefined;
--- a/packages/forwarding/src/caller-connections.ts
+++ b/packages/forwarding/src/caller-connections.ts
@@ -9,16 +9,20 @@
 import { type Clock } from '@toucanbend/core';
 import { readPendingInput } from './pending-input.js';
 
+/** The turn of a request on its connection. */
+export interface RequestTurn {
+  /** Resolves when the earlier requests on its connection have ended, or the connection has closed. */
+  readonly whenEarlierEnded: Promise<void>;
+  /** Resolves when the request has ended, or its connection has closed. */
+  readonly whenEnded: Promise<void>;
+}
+
 /** The connections of callers and the requests on them. */
 export interface CallerConnections {
   /** Adds a connection that was accepted. */
   accepted(socket: Socket): void;
-  /**
-   * Records a request whose head has been read; it ends when its answer has been handed to the operating system.
-   *
-   * @returns resolves when the earlier requests on its connection have ended, or the connection has closed
-   */
-  received(message: IncomingMessage, response: ServerResponse): Promise<void>;
+  /** Records a request whose head has been read; it ends when its answer has been handed to the operating system. */
+  received(message: IncomingMessage, response: ServerResponse): RequestTurn;
   /** Closes a connection when the requests on it are answered. Returns false if there are none. */
   closeAfterAnswers(socket: Socket): boolean;
   /** Returns the last request on a connection if its body has not arrived completely. */
@@ -99,7 +103,7 @@
         requests -= 1;
         update(socket, (use) => ({ requests: use.requests - 1, bytesReadAtEnd: socket.bytesRead }));
       });
-      return earlier;
+      return { whenEarlierEnded: earlier, whenEnded: ended };
     },
     closeAfterAnswers: (socket) => {
       if ((uses.get(socket)?.requests ?? 0) === 0) {
--- a/packages/forwarding/src/caller-port.ts
+++ b/packages/forwarding/src/caller-port.ts
@@ -6,7 +6,7 @@
 import { DecisionKind } from '@toucanbend/observability';
 import { type Catalogue } from '@toucanbend/registry';
 import { type CallerAnswer, createCallerAnswer, EndReason, type RequestEnd } from './caller-answer.js';
-import { createCallerConnections } from './caller-connections.js';
+import { createCallerConnections, type RequestTurn } from './caller-connections.js';
 import { type CallerRequest } from './caller-request.js';
 import { type ForwardingContext } from './context.js';
 import { type CallerHead } from './dialect.js';
@@ -16,7 +16,10 @@
 import { answerLogFields } from './log-fields.js';
 import { admitRequest } from './admission.js';
 import { createAnswerMemory } from './answer-memory.js';
+import { createBodyMemory } from './body-memory.js';
 import { createBodyReader } from './body-reader.js';
+import { isIncompleteInput, reasonOfClientError, statusOfClientError } from './client-error.js';
+import { limitConnections, MAX_CALLER_CONNECTIONS } from './connection-limits.js';
 import { endToEndHeaders } from './headers.js';
 import { isOverloaded } from './overload.js';
 import { acceptPendingConnections, readPendingInput } from './pending-input.js';
@@ -85,9 +88,12 @@
   readonly #inboxes = new Set<Channel<ForwardMessage>>();
   readonly #bodies;
   readonly #memory = createAnswerMemory();
+  readonly #bodyMemory = createBodyMemory();
+  readonly #closeAfter: (response: ServerResponse) => void;
 
-  constructor(context: ForwardingContext) {
+  constructor(context: ForwardingContext, closeAfter: (response: ServerResponse) => void) {
     this.#context = context;
+    this.#closeAfter = closeAfter;
     this.#bodies = createBodyReader(context.clock);
   }
 
@@ -107,13 +113,13 @@
   async handle(
     message: IncomingMessage,
     response: ServerResponse,
-    whenEarlierEnded: Promise<void>,
+    turn: RequestTurn,
     isLast: () => boolean,
   ): Promise<void> {
     const isClosing = (): boolean => this.#context.isDraining() && isLast();
     const answer = createCallerAnswer(response, isClosing, this.#memory.open());
     try {
-      await this.#read(message, response, answer, whenEarlierEnded);
+      await this.#read(message, response, answer, turn);
     } catch (error) {
       // The process of the request has not been started, so the request has not run.
       this.#failInternally('', -1, answer, Outcome.NotRun, error);
@@ -124,22 +130,25 @@
     message: IncomingMessage,
     response: ServerResponse,
     answer: CallerAnswer,
-    whenEarlierEnded: Promise<void>,
+    { whenEarlierEnded, whenEnded }: RequestTurn,
   ): Promise<void> {
     const receivedAtMs = this.#context.clock.now();
     const head = this.#context.dialect.readCaller(message.headers);
     response.on('error', () => undefined);
     message.on('error', () => undefined);
     const limits = this.#context.registry().catalogue?.limits;
+    const bodyMemory = this.#bodyMemory.open();
+    void whenEnded.then(bodyMemory.close.bind(bodyMemory));
     const bodyTimeoutMs = Math.min(MAX_BODY_TIME_MS, head.callerTimeoutMs ?? MAX_BODY_TIME_MS);
     const body = await this.#bodies.read(
       message,
       limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       bodyTimeoutMs,
+      bodyMemory,
     );
     if (typeof body === 'string') {
+      this.#closeAfter(response);
       this.#reject(head, answer, body);
-      response.once('finish', () => message.destroy());
       return;
     }
     await whenEarlierEnded;
@@ -271,31 +280,6 @@
   }
 }
 
-/** Error of Node's parser if a connection ends inside a request. */
-const INCOMPLETE_INPUT = 'HPE_INVALID_EOF_STATE';
-const PARSER_ERROR_PREFIX = 'HPE_';
-const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
-
-/** Returns the reason for the end of a request whose body cannot be read. */
-function reasonOfClientError({ code }: NodeJS.ErrnoException): EndReason {
-  if (code === REQUEST_TIMEOUT) {
-    return EndReason.DeadlinePassed;
-  }
-  return code?.startsWith(PARSER_ERROR_PREFIX) === true ? EndReason.BadRequest : EndReason.CallerGone;
-}
-
-/** Returns the status line of the answer to input that is no valid request, as Node's own server determines it. */
-function statusOfClientError({ code }: NodeJS.ErrnoException): string {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return '431 Request Header Fields Too Large';
-    case REQUEST_TIMEOUT:
-      return '408 Request Timeout';
-    default:
-      return '400 Bad Request';
-  }
-}
-
 function listen(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -312,7 +296,6 @@
  * @returns the server, which does not listen yet
  */
 export function createCallerPort(context: ForwardingContext): CallerPort {
-  const reader = new RequestReader(context);
   const connections = createCallerConnections(context.clock);
   const server = createServer(
     {
@@ -322,21 +305,26 @@
       noDelay: true,
     },
     (message, response) => {
-      const whenEarlierEnded = connections.received(message, response);
-      void reader.handle(message, response, whenEarlierEnded, () => connections.isLast(message));
+      const turn = connections.received(message, response);
+      void reader.handle(message, response, turn, () => connections.isLast(message));
     },
   );
+  const limited = limitConnections(server, MAX_CALLER_CONNECTIONS, (cause) => {
+    context.logger.warn('connection closed by a limit', { cause });
+  });
+  const reader = new RequestReader(context, limited.closeAfter);
   // With this listener, Node leaves it to the listener to close the connection.
   server.on('timeout', (socket: Socket) => {
     void connections.expired(socket);
   });
   // Without this listener, Node puts its error in the place of the answer to a request in flight.
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    if (error.code === INCOMPLETE_INPUT) {
+    if (isIncompleteInput(error)) {
       // The caller has left. Answers that are complete are still delivered; others are cancelled by the end of its input.
       socket.end();
       return;
     }
+    limited.stop(socket);
     const unread = connections.lastUnread(socket);
     if (unread !== undefined) {
       reader.failBody(unread, reasonOfClientError(error));
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,6 +5,7 @@
 export * from './caller-port.js';
 export * from './caller-request.js';
 export * from './chunk-limit.js';
+export { limitServiceConnections } from './connection-limits.js';
 export * from './context.js';
 export * from './dialect.js';
 export * from './drain-limit.js';
--- a/packages/forwarding/test/caller-connections.test.ts
+++ b/packages/forwarding/test/caller-connections.test.ts
@@ -14,7 +14,7 @@
   const listenersBefore = socket.listenerCount('close');
   for (let requests = 0; requests < 50; requests += 1) {
     const response = new EventEmitter() as ServerResponse;
-    await connections.received({ socket } as IncomingMessage, response);
+    await connections.received({ socket } as IncomingMessage, response).whenEarlierEnded;
     response.emit('close');
   }
   await Promise.resolve();
--- a/packages/gateway/src/operators.ts
+++ b/packages/gateway/src/operators.ts
@@ -1,4 +1,5 @@
 /** The operators' port of an entry: metrics, readiness and status. */
+import { limitServiceConnections } from '@toucanbend/forwarding';
 import { type Logger, openOperatorPort } from '@toucanbend/observability';
 import { type Registry as MetricsRegistry } from 'prom-client';
 import { type ListenAddress } from './listen-address.js';
@@ -20,13 +21,14 @@
 export async function openOperatorsPort(address: ListenAddress, sources: OperatorSources): Promise<void> {
   const { metricsRegistry, logger, isReady, status } = sources;
   try {
-    await openOperatorPort({
+    const server = await openOperatorPort({
       ...address,
       metrics: { text: () => metricsRegistry.metrics() },
       logger,
       isReady,
       status,
     });
+    limitServiceConnections(server);
   } catch (error) {
     logger.warn('operator port not opened', { ...address, error: String(error) });
   }
--- a/packages/gateway/src/ready-port.ts
+++ b/packages/gateway/src/ready-port.ts
@@ -1,5 +1,6 @@
 /** The port for the load balancer's readiness checks. */
 import { createServer, type Server } from 'node:http';
+import { limitServiceConnections } from '@toucanbend/forwarding';
 
 /**
  * Opens the port, which answers 200 if the entry accepts connections, else 503.
@@ -21,6 +22,7 @@
     response.writeHead(isKnown ? (isReady() ? 200 : 503) : 404, { 'Content-Length': '0' });
     response.end();
   });
+  limitServiceConnections(server);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
