Entries: a started entry does not watch the store for others while it links to them

Change: for a second at most, until half of the other registered entries are linked, an entry only lists.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,7 +45,7 @@
 import { answersUntil, drainRequests, outOfRotationAt } from './drain.js';
 import { createEvacuationReport, describeEvacuations } from './evacuation-report.js';
 import { registerGatewayMetrics } from './gateway-metrics.js';
-import { whenLinksOpen } from './link-start.js';
+import { isLinking, whenLinksOpen } from './link-start.js';
 import { type ListenAddress } from './listen-address.js';
 import { openOperatorsPort } from './operators.js';
 import { coldOptions, coldStatements } from './cold-statements.js';
@@ -136,7 +136,10 @@
   const engineOf = (name: string): EngineParameters | undefined =>
     holder.current().catalogue?.services.find((service) => service.name === name)?.engine;
   const storeHealth = createStoreHealth(clock, logger);
-  const isStoreReader = (): boolean => isReader(member.name, peers.peersReachingStore());
+  const startedAtMs = clock.now();
+  const isStoreReader = (): boolean =>
+    !isLinking(clock.now() - startedAtMs, peers.linkCount(), listEntries(holder.current()).length - 1) &&
+    isReader(member.name, peers.peersReachingStore());
   const withdraw = (quarantined: QuarantinedCause): void => {
     if (isStoreReader()) {
       void source.endQuarantine(quarantined).then((removed) => {
--- a/packages/gateway/test/link-start.test.ts
+++ b/packages/gateway/test/link-start.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createManualClock, type ManualClock } from '@toucanbend/core';
-import { whenLinksOpen } from '../src/link-start.js';
+import { isLinking, whenLinksOpen } from '../src/link-start.js';
 
 interface Start {
   readonly clock: ManualClock;
@@ -65,3 +65,17 @@
     assert.equal(await isOpen(), true);
   });
 });
+
+describe('an entry that starts beside others', () => {
+  it('leaves watching the store to them until it is linked to half of them, for a second at most', () => {
+    assert.ok(isLinking(300, 0, 29));
+    assert.ok(isLinking(300, 14, 29));
+    assert.ok(!isLinking(300, 15, 29));
+    assert.ok(!isLinking(1_000, 0, 29));
+  });
+
+  it('watches the store at once if it is the only one', () => {
+    assert.ok(!isLinking(0, 0, 0));
+    assert.ok(!isLinking(0, 0, -1));
+  });
+});
