--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -33,7 +33,7 @@
   readonly mayWait: boolean;
   /** Whether some other entries place jobs without this entry receiving their load updates. */
   readonly hasPartialLoadView: boolean;
-  /** Whether the job may leave its place to others; one whose answer has begun, or that a server has failed, may not. */
+  /** Whether the job may leave its place to others; not if its answer has begun, or a server has failed it. */
   readonly mayYield: boolean;
   /** Whether the job runs already and would be cancelled there; its slots and memory then count as free. */
   readonly replacesAttempt: boolean;
