Entries: the grace period of a stop counts from the signal, also during the start

Change: the time since the signal is subtracted from the grace period. Result: tests of the gateway and of planned stops pass; the case itself has no test.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,8 +96,12 @@
 
 /** A running gateway. */
 export interface Gateway {
-  /** Drains the gateway: accepts no more connections, completes requests in flight, and resolves when the process may end. */
-  leave(): Promise<void>;
+  /**
+   * Drains the gateway: accepts no more connections, completes requests in flight, and resolves when the process may end.
+   *
+   * @param elapsedMs - time since the signal to stop, in milliseconds; a signal that comes during the start waits for its end
+   */
+  leave(elapsedMs?: number): Promise<void>;
 }
 
 /** Assumed round-trip time to a server in another data centre, in milliseconds; used until times are measured. */
@@ -362,9 +366,10 @@
   logger.info('started', { name: member.name, dataCentre: member.dataCentre, address: member.address });
 
   return {
-    leave: async () => {
+    leave: async (elapsedMs = 0) => {
+      const graceMs = Math.max(0, options.graceMs - elapsedMs);
       isLeaving = true;
-      answersUntilMs = answersUntil(clock.now(), options.graceMs);
+      answersUntilMs = answersUntil(clock.now(), graceMs);
       outOfRotationAtMs = outOfRotationAt(clock.now());
       port.startDraining();
       registrar.stop();
@@ -372,7 +377,6 @@
         isClosed = true;
         return port.stopListening();
       };
-      const { graceMs } = options;
       const { busyConnections, acceptedConnections } = port;
       await drainRequests({ clock, logger, graceMs, busyConnections, acceptedConnections, close });
       follower.stop();
