Placement: late prompts yield before engines are compared; stored quarantine in its own file

Change: a prompt that cannot meet its target any more yields before the comparison. The writing of quarantined causes moves out of gateway.ts.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,7 +34,6 @@
   evacuatedDataCentres,
   listEntries,
   listServers,
-  type QuarantinedCause,
   RecordKind,
   type RegistrySource,
 } from '@toucanbend/registry';
@@ -53,6 +52,7 @@
 import { type PaceMode } from './pace-beginnings.js';
 import { applyQuarantineRecords } from './quarantine-records.js';
 import { openReadyPort } from './ready-port.js';
+import { createStoredQuarantine } from './stored-quarantine.js';
 import { watchSettingsOf } from './watch-settings.js';
 
 /** Addresses, settings and dependencies of a gateway. */
@@ -127,7 +127,7 @@
     expiryMs: options.serverExpiryMs,
     onDeferred: (record) => {
       if (record.kind === RecordKind.Quarantine && record.value !== undefined) {
-        withdraw(record.value);
+        storedQuarantine.withdraw(record.value);
       }
     },
   });
@@ -144,15 +144,7 @@
   const isStoreReader = (): boolean =>
     !isLinking(clock.now() - startedAtMs, peers.linkCount(), listEntries(holder.current()).length - 1) &&
     isReader(member.name, peers.peersReachingStore());
-  const withdraw = (quarantined: QuarantinedCause): void => {
-    if (isStoreReader()) {
-      void source.endQuarantine(quarantined).then((removed) => {
-        removed.mapErr(({ message }) => {
-          logger.warn('quarantined cause not removed from the store', { ...quarantined, error: message });
-        });
-      });
-    }
-  };
+  const storedQuarantine = createStoredQuarantine({ source, logger, isStoreReader });
   const quarantine: Quarantine = createQuarantine({
     clock,
     wallClock: options.wallClock,
@@ -161,17 +153,7 @@
     broadcast: (update) => {
       peers.broadcastQuarantine(update);
     },
-    publish: async (quarantined) => {
-      const written = await source.quarantine(quarantined);
-      return written.match(
-        () => true,
-        ({ message }) => {
-          logger.warn('quarantined cause not written to the store', { ...quarantined, error: message });
-          return false;
-        },
-      );
-    },
-    withdraw,
+    ...storedQuarantine,
   });
   const endedEntries = new Set<string>();
   const restrictions: ServerRestrictions = createServerRestrictions({
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -11,7 +11,7 @@
 import { isShareOf } from './job-share.js';
 import { isEligible, type LoadTracker, type ServerLoad } from './load-tracker.js';
 import { choosePlacement } from './prompt-choice.js';
-import { holdForRoom } from './prompt-room.js';
+import { promptRoom } from './prompt-room.js';
 import { chooseWaitMs, recheckIntervalMs } from './prompt-wait.js';
 import { type PlannerSettings, type ReadyServer, readyServers } from './ready-servers.js';
 
@@ -149,6 +149,12 @@
       };
     },
   };
+  const room =
+    mayWait && mayYield && !hasPartialLoadView ? promptRoom(candidates, job, generation) : undefined;
+  const late = room?.holdLate(nowMs);
+  if (late !== undefined) {
+    return late;
+  }
   const findServer = (id: string): BackendServer | undefined =>
     servers.find(({ server }) => server.id === id)?.server;
   const choice = choosePlacement(candidates, job, generation, nowMs);
@@ -161,10 +167,9 @@
   if (nowMs + expectedMs > job.deadlineAtMs) {
     return reject(RejectionReason.TooLate, expectedMs);
   }
-  const isHeldBack = mayWait && mayYield && !hasPartialLoadView;
-  const held = isHeldBack ? holdForRoom(candidates, job, generation, expectedMs, nowMs) : undefined;
-  if (held !== undefined) {
-    return held;
+  const early = room?.holdEarly(expectedMs, nowMs);
+  if (early !== undefined) {
+    return early;
   }
   const waitMs = mayWait ? chooseWaitMs(engine, job, choice, nowMs) : 0;
   if (waitMs > 0) {
--- a/packages/placement/src/prompt-room.ts
+++ b/packages/placement/src/prompt-room.ts
@@ -3,38 +3,69 @@
 import { DecisionKind, type PlacementDecision, RejectionReason } from './decision.js';
 import { type PromptCandidates } from './engine-shortlist.js';
 import { type Job, jobValue } from './job.js';
-import { decideRoom, isRoomScarce, isShortPrompt, RoomDecisionKind, surveyRoom } from './room.js';
+import {
+  decideEarly,
+  decideLate,
+  expectedStartMs,
+  isRoomScarce,
+  isShortPrompt,
+  type RoomDecision,
+  RoomDecisionKind,
+  surveyRoom,
+} from './room.js';
+
+/** Decides whether one prompt is held back since free places are scarce. */
+export interface PromptRoom {
+  /** Returns the decision if the prompt is late already, before engines are compared for it. */
+  holdLate(nowMs: number): PlacementDecision | undefined;
+  /**
+   * Returns the decision if the prompt is expected to be late at the best engine.
+   *
+   * @param expectedMs - predicted time to its first event there, in milliseconds
+   * @param nowMs - the current time, in milliseconds
+   */
+  holdEarly(expectedMs: number, nowMs: number): PlacementDecision | undefined;
+}
+
+const plentyOfRoom: PromptRoom = { holdLate: () => undefined, holdEarly: () => undefined };
 
 /**
- * Decides whether a prompt is held back since free places are scarce.
+ * Creates the decisions for a prompt.
  *
  * @param candidates - all engines
  * @param job - the job
  * @param generation - its prompt
- * @param expectedMs - predicted time to its first event at the best engine, in milliseconds
- * @param nowMs - the current time, in milliseconds
- * @returns the decision that the prompt waits or is rejected; undefined if it may be placed
+ * @returns the decisions; none holds back a prompt while places are not scarce, or one that is not short
  */
-export function holdForRoom(
+export function promptRoom(
   { engine, engines }: PromptCandidates,
   job: Job,
   generation: Generation,
-  expectedMs: number,
-  nowMs: number,
-): PlacementDecision | undefined {
-  if (!isShortPrompt(engine, job, generation)) {
-    return undefined;
-  }
-  const room = surveyRoom(engine, engines);
-  const decision = isRoomScarce(room) ? decideRoom(engine, job, generation, expectedMs, nowMs) : undefined;
-  if (decision === undefined) {
-    return undefined;
+): PromptRoom {
+  const room = isShortPrompt(engine, job, generation) ? surveyRoom(engine, engines) : undefined;
+  if (room === undefined || !isRoomScarce(room)) {
+    return plentyOfRoom;
   }
   const { freePlaces, places } = room;
-  const report = { decision: decision.kind, freePlaces, places, expectedMs };
-  if (decision.kind === RoomDecisionKind.TurnAway) {
-    const { retryAfterMs } = decision;
-    return { kind: DecisionKind.Reject, reason: RejectionReason.Crowded, retryAfterMs, room: report };
-  }
-  return { kind: DecisionKind.Wait, waitMs: decision.waitMs, cost: jobValue(job), room: report };
+  const toPlacement = (decision: RoomDecision, expectedMs: number): PlacementDecision => {
+    const report = { decision: decision.kind, freePlaces, places, expectedMs };
+    return decision.kind === RoomDecisionKind.TurnAway
+      ? {
+          kind: DecisionKind.Reject,
+          reason: RejectionReason.Crowded,
+          retryAfterMs: decision.retryAfterMs,
+          room: report,
+        }
+      : { kind: DecisionKind.Wait, waitMs: decision.waitMs, cost: jobValue(job), room: report };
+  };
+  return {
+    holdLate: (nowMs) => {
+      const decision = decideLate(engine, job, generation, nowMs);
+      return decision === undefined ? undefined : toPlacement(decision, expectedStartMs(engine, generation));
+    },
+    holdEarly: (expectedMs, nowMs) => {
+      const decision = decideEarly(job, expectedMs, nowMs);
+      return decision === undefined ? undefined : toPlacement(decision, expectedMs);
+    },
+  };
 }
--- a/packages/placement/src/room.ts
+++ b/packages/placement/src/room.ts
@@ -126,31 +126,40 @@
 }
 
 /**
- * Decides about a short prompt while free places are scarce.
+ * Decides about a short prompt that cannot meet its target any more, while free places are scarce. It needs no prediction of
+ * engines, since many such prompts may wait.
  *
  * @param engine - published parameters of the engine
  * @param job - the job
  * @param generation - its prompt
- * @param expectedMs - predicted time to its first event at the best engine, behind the requests that wait there
  * @param nowMs - the current time, in milliseconds
- * @returns the decision; undefined if the prompt is placed, since it is expected to meet its target
+ * @returns the decision; undefined if the prompt could still meet its target with a free place
  */
-export function decideRoom(
+export function decideLate(
   engine: EngineParameters,
   job: Job,
   generation: Generation,
-  expectedMs: number,
   nowMs: number,
 ): RoomDecision | undefined {
-  const targetAtMs = job.arrivedAtMs + job.targetMs;
-  if (nowMs + expectedMs <= targetAtMs) {
+  if (nowMs + expectedStartMs(engine, generation) <= job.arrivedAtMs + job.targetMs) {
     return undefined;
   }
-  if (nowMs + expectedStartMs(engine, generation) <= targetAtMs) {
-    return { kind: RoomDecisionKind.Wait, waitMs: recheckIntervalMs(job) };
-  }
   const waitEndsAtMs = job.arrivedAtMs + YIELD_SHARE * (job.deadlineAtMs - job.arrivedAtMs);
   return nowMs < waitEndsAtMs
     ? { kind: RoomDecisionKind.Yield, waitMs: Math.min(YIELD_INTERVAL_MS, waitEndsAtMs - nowMs) }
     : { kind: RoomDecisionKind.TurnAway, retryAfterMs: retryAfterMs(engine, job, nowMs) };
 }
+
+/**
+ * Decides about a short prompt that could meet its target with a free place, while these are scarce.
+ *
+ * @param job - the job
+ * @param expectedMs - predicted time to its first event at the best engine, behind the requests that wait there
+ * @param nowMs - the current time, in milliseconds
+ * @returns the decision; undefined if the prompt is placed, since it is expected to meet its target there
+ */
+export function decideEarly(job: Job, expectedMs: number, nowMs: number): RoomDecision | undefined {
+  return nowMs + expectedMs <= job.arrivedAtMs + job.targetMs
+    ? undefined
+    : { kind: RoomDecisionKind.Wait, waitMs: recheckIntervalMs(job) };
+}
