--- a/packages/forwarding/src/context.ts
+++ b/packages/forwarding/src/context.ts
@@ -26,6 +26,8 @@
   readonly planner: PlannerSettings;
   readonly loadTracker: LoadTracker;
   readonly restrictions: ServerRestrictions;
+  /** Whether short prompts wait at this entry and yield while free places of the engines are scarce. */
+  readonly holdsPrompts: boolean;
   /** The pace of servers that have started or recovered; undefined if all are used at full pace. */
   readonly paces?: ServerPaces | undefined;
   readonly retries: RetryBudget;
--- a/packages/forwarding/src/request-placement.ts
+++ b/packages/forwarding/src/request-placement.ts
@@ -59,7 +59,8 @@
   }
 
   plan(excluded: ReadonlySet<string>, mayWait: boolean): PlacementDecision {
-    const mayYield = excluded.size === 0 && this.#request.head.lastEventId === undefined;
+    const isFirst = excluded.size === 0 && this.#request.head.lastEventId === undefined;
+    const mayYield = this.#context.holdsPrompts && isFirst;
     const inputs = plannerInputs(this.#context, { mayWait, mayYield, replacesAttempt: false });
     const decision = planJob(this.job, this.#request.service, excluded, inputs, this.#context.clock.now());
     this.#log(decision, inputs.registry);
--- a/packages/forwarding/test/support/gateway.ts
+++ b/packages/forwarding/test/support/gateway.ts
@@ -297,6 +297,7 @@
     answersUntilMs: () => requestsUntilMs,
     outOfRotationAtMs: () => Number.POSITIVE_INFINITY,
     acceptsRequests: () => takesRequests,
+    holdsPrompts: true,
     hasPartialLoadView: () => false,
     broadcast: (update) => {
       updates.push(update);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,6 +67,8 @@
   readonly retryBound: RetryBound;
   /** Most requests that a cold server may get in one second. */
   readonly coldBound: ColdBound;
+  /** Whether short prompts wait at this entry and yield while free places of the engines are scarce. */
+  readonly holdsPrompts: boolean;
   /** For which services servers are used at a reduced pace after they have started or recovered. */
   readonly pace: PaceMode;
   /** Grace period from the signal to stop until the process is killed, in milliseconds. */
@@ -225,6 +227,7 @@
     loadTracker,
     restrictions,
     paces,
+    holdsPrompts: options.holdsPrompts,
     retries: createRetryBudget(options.retryBound),
     quarantine,
     registry: holder.current.bind(holder),
