--- a/packages/pace/src/server-pace.ts
+++ b/packages/pace/src/server-pace.ts
@@ -1,7 +1,7 @@
 /**
  * The pace of one run of a server: the share of its slots and of its request rate that placement uses.
  *
- * Handles a server that joins others under load: with free slots it is the cheapest of all for every entry at once, and is
+ * Handles a server that joins others under load: all entries see its free slots and find it the cheapest, so that it is
  * flooded before it serves at its speed. Its share rises with each answer that comes as predicted and falls at once with each
  * failure or late answer, and is whole when it serves as its equals do.
  */
