review: requests with a part that crashes servers, several at a time, are quarantined late

Cause: crashes of different servers within 100 ms count as one, so that a batch gives two crashes at most, of three needed.

--- a/review/support-2/engines.mjs
+++ b/review/support-2/engines.mjs
@@ -26,9 +26,18 @@
 /**
  * Starts an engine.
  *
- * @param options - its id and address, callbacks, and the silence that it falls into at an event of a request, if any
+ * @param options - its id and address, callbacks, the silence that it falls into at an event of a request, if any, and whether it
+ *   crashes as it begins to write the answer to one
  */
-export async function startEngine({ id, host, onArrival, onEnd, silenceOf = () => undefined }) {
+export async function startEngine({
+  id,
+  host,
+  onArrival,
+  onEnd,
+  silenceOf = () => undefined,
+  isFatal = () => false,
+  onCrash,
+}) {
   const server = createServer((request, response) => {
     request.on('error', () => undefined);
     response.on('error', () => undefined);
@@ -63,9 +72,25 @@
         response.end();
         return;
       }
-      serve({ id, attempt, request, response, onArrival, onEnd, silenceOf });
+      serve({ id, attempt, request, response, onArrival, onEnd, silenceOf, isFatal, crash });
     });
   });
+  const sockets = new Set();
+  /** Ends the run as a process that crashes: its connections are reset, and it listens no more. */
+  let hasCrashed = false;
+  const crash = (attempt) => {
+    if (hasCrashed) {
+      return;
+    }
+    hasCrashed = true;
+    server.close();
+    sockets.forEach((socket) => socket.resetAndDestroy());
+    onCrash(attempt);
+  };
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   server.keepAliveTimeout = 5_000;
   await new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -81,14 +106,18 @@
   };
 }
 
-function serve({ id, attempt, request, response, onArrival, onEnd, silenceOf }) {
+function serve({ id, attempt, request, response, onArrival, onEnd, silenceOf, isFatal, crash }) {
   const [promptTokens, answerTokens] = request.headers['x-token-usage'].split(',').map(Number);
   const events = Math.ceil(answerTokens / TOKENS_PER_EVENT);
   const silence = silenceOf(attempt);
-  onArrival({ server: id, attempt });
+  onArrival({ server: id, attempt, headers: request.headers });
   let event = Number(request.headers['last-event-id'] ?? 0);
   let timer;
   const next = () => {
+    if (isFatal(request.headers)) {
+      crash(attempt);
+      return;
+    }
     event += 1;
     response.write(`id: ${String(event)}\ndata: ${attempt} piece ${String(event)} of ${String(events)}\n\n`);
     if (event >= events) {
