--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -158,6 +158,7 @@
 } catch (error) {
   record.add(`could not start: ${String(error)}`);
   record.write(join(FOLDER, 'record.txt'));
+  await entries.stop();
   process.exit(2);
 }
 await sleep(3_500);
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -138,6 +138,7 @@
 } catch (error) {
   record.add(`could not start: ${String(error)}`);
   record.write(join(dirname(fileURLToPath(import.meta.url)), 'record.txt'));
+  await entries.stop();
   process.exit(2);
 }
 await sleep(3_000);
--- a/review/support-2/entries.mjs
+++ b/review/support-2/entries.mjs
@@ -4,6 +4,7 @@
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { performance } from 'node:perf_hooks';
 import process from 'node:process';
 import { clearTimeout, setTimeout } from 'node:timers';
 
@@ -58,6 +59,9 @@
   max_idle_ms: 9000,
 };
 
+/** Longest time for an entry to become ready after its start. */
+const READY_WITHIN_MS = 20_000;
+
 /** Entries of one deployment, each at a loopback address of its own. */
 export class Entries {
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
@@ -70,6 +74,16 @@
   constructor({ onExit = () => undefined, bounds = BOUNDS } = {}) {
     this.#onExit = onExit;
     this.#bounds = bounds;
+    // A fault of the script itself is no result.
+    const giveUp = (error) => {
+      process.stderr.write(`${String(error?.stack ?? error)}\n`);
+      this.all.forEach(({ child }) => child?.kill('SIGKILL'));
+      rmSync(this.#folder, { recursive: true, force: true });
+      process.exit(2);
+    };
+    process.on('uncaughtException', giveUp);
+    process.on('unhandledRejection', giveUp);
+    ['SIGINT', 'SIGTERM'].forEach((signal) => process.on(signal, giveUp));
   }
 
   /** Lays the entries out; none is started yet. */
@@ -157,13 +171,14 @@
 
   /** Waits until an entry says that it is ready, as the platform asks it. */
   async ready(entry, get) {
-    for (;;) {
+    for (const startedAt = performance.now(); performance.now() - startedAt < READY_WITHIN_MS;) {
       const status = await get(entry.host, entry.ready, '/api/ready');
       if (status === 200) {
         return;
       }
       await new Promise((resolve) => setTimeout(resolve, 50));
     }
+    throw new Error(`${entry.name} is not ready`);
   }
 
   async stop() {
