Membership: an entry takes over a position only with all removals before it

Cause: a position said up to which revision the records of an entry are complete, but not since which one it has the tombstones. A listing lacks what was removed before. An entry that pulled the changes since its position from one that had just listed took over its position, and never asked for the removals in between again; a reader then even watched the store from there.

Evidence: in the logs of the case a-1 starts and lists revision 23, a-2 links to it, and a-3, a-4 and a-5 apply the removals of revisions 21 and 23, which they had held back, while a-2 never does, without a lost link or a removal held back in vain.

Change: the registry knows the position after which it has all removals. Digests state it, positions are taken over only with all changes since the own position, and where no linked entry has them, all records of the kind are pulled and what they lack is dropped through the guard of removals. Positions of entries of earlier versions are not taken over.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,6 +192,9 @@
     random,
     logger,
     isStoreReachable: storeHealth.isReachable,
+    applyListing: (kind, listing, peer) => {
+      follower.applyListing(kind, listing, peer);
+    },
     onLoadUpdate: (from, update) => {
       applyLoadUpdate(loadTracker, restrictions, from, update, engineOf, clock.now());
     },
--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -4,11 +4,13 @@
 import {
   evacuationsChanged,
   laterPosition,
+  type RecordBatch,
   RecordKind,
   type RegistrySource,
   SourceErrorKind,
   type StorePosition,
 } from '@toucanbend/registry';
+import { type ListingHandler } from './registry-exchange.js';
 import { type RegistryHolder } from './registry-holder.js';
 import { createRemovalGuard, type RemovalGuard } from './removal-guard.js';
 import { type StoreHealth } from './store-health.js';
@@ -31,6 +33,8 @@
 export interface Follower {
   start(): void;
   stop(): void;
+  /** Applies all records of a kind that another entry has read; those of a kind that is not followed are dropped. */
+  readonly applyListing: ListingHandler;
 }
 
 /** Dependencies, settings and callbacks of a follower. */
@@ -90,8 +94,8 @@
     this.#kind = kind;
     this.#watchSettings = watchSettings;
     this.#guard = createRemovalGuard(kind);
-    options.source.onRestored(() => {
-      this.#guard.recordRestoration(options.clock.now());
+    options.source.onRestored((era) => {
+      this.#guard.recordRestoration(era, options.clock.now());
       if (this.#isReadByOthers()) {
         this.#listLater();
       } else {
@@ -160,8 +164,36 @@
     });
   }
 
+  /**
+   * Applies all records of the kind that another entry has read. Servers that it lacks may have lapsed while the store was away,
+   * which this entry has not noticed as long as it does not reach the store.
+   */
+  receiveListing(listing: RecordBatch, peer: string): void {
+    const { clock, storeHealth } = this.#options;
+    // What is held back already is not held for longer by further lists.
+    if (!storeHealth.isReachable() && this.#guard.heldCount() === 0) {
+      this.#guard.recordLapses(clock.now());
+    }
+    this.#applyListing(listing, peer);
+  }
+
+  #applyListing(listing: RecordBatch, peer?: string): void {
+    const { holder, clock, onChanges } = this.#options;
+    const { position } = listing;
+    this.#guard.recordEra(position.era, clock.now());
+    holder.dropMissing(this.#kind, listing);
+    const before = holder.current();
+    const applied = this.#guard.holdMissing(before, listing, clock.now());
+    holder.merge(applied, this.#completePosition(position), peer, { [this.#kind]: position });
+    // Other changes that only a listing shows reach the other entries by the periodic digests, too late for evacuations.
+    const { begun, ended } = evacuationsChanged(holder.current(), before);
+    if (begun.length + ended.length > 0) {
+      onChanges();
+    }
+  }
+
   async #list(): Promise<boolean> {
-    const { source, holder, clock, logger, onChanges } = this.#options;
+    const { source, logger } = this.#options;
     this.#isListing = true;
     const listed = await source.list(this.#kind);
     this.#isListing = false;
@@ -171,15 +203,7 @@
     this.#recordCall('', true);
     const { position, records } = listed.value;
     this.#position = position;
-    holder.dropMissing(this.#kind, listed.value);
-    const before = holder.current();
-    const applied = this.#guard.holdMissing(before, listed.value, clock.now());
-    holder.merge(applied, this.#completePosition(position));
-    // Other changes that only a listing shows reach the other entries by the periodic digests, too late for evacuations.
-    const { begun, ended } = evacuationsChanged(holder.current(), before);
-    if (begun.length + ended.length > 0) {
-      onChanges();
-    }
+    this.#applyListing(listed.value);
     logger.info('registry listed', {
       kind: this.#kind,
       era: position.era,
@@ -279,18 +303,23 @@
 export function createFollower(options: FollowerOptions): Follower {
   const followers = Object.values(RecordKind).flatMap((kind) => {
     const watchSettings = options.watchSettings[kind];
-    return watchSettings === undefined ? [] : [new KindFollower(options, kind, watchSettings)];
+    return watchSettings === undefined
+      ? []
+      : [{ kind, follower: new KindFollower(options, kind, watchSettings) }];
   });
   return {
     start: () => {
-      followers.forEach((follower) => {
+      followers.forEach(({ follower }) => {
         void follower.step();
       });
     },
     stop: () => {
-      followers.forEach((follower) => {
+      followers.forEach(({ follower }) => {
         follower.stop();
       });
     },
+    applyListing: (kind, listing, peer) => {
+      followers.find((followed) => followed.kind === kind)?.follower.receiveListing(listing, peer);
+    },
   };
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,6 +4,7 @@
 export * from './peers.js';
 export * from './readers.js';
 export * from './registrar.js';
+export * from './registry-exchange.js';
 export * from './registry-holder.js';
 export * from './removal-guard.js';
 export * from './store-health.js';
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -8,19 +8,7 @@
 import { encodePaceUpdate, type PaceUpdate } from '@toucanbend/pace';
 import { encodeLoadUpdate, type LoadUpdate, type PlacedRunningJob } from '@toucanbend/placement';
 import { encodeQuarantineUpdate, type QuarantineUpdate } from '@toucanbend/quarantine';
-import {
-  decodeRecords,
-  type EntryMember,
-  initialPosition,
-  isAfter,
-  isBehind,
-  listEntries,
-  newestPositions,
-  type Positions,
-  type QuarantinedCause,
-  RecordKind,
-  recordsSince,
-} from '@toucanbend/registry';
+import { type EntryMember, listEntries, type QuarantinedCause } from '@toucanbend/registry';
 import { encodeRestrictionUpdate, type RestrictionUpdate } from '@toucanbend/restrictions';
 import {
   createLinkPool,
@@ -38,6 +26,7 @@
 import { planDials } from './dial-plan.js';
 import { createJobHandover } from './job-handover.js';
 import { applyUpdate, encodeState, type UpdateHandlers } from './peer-updates.js';
+import { createRegistryExchange, type ListingHandler } from './registry-exchange.js';
 import { type RegistryHolder } from './registry-holder.js';
 
 /** The links of one entry to all other entries. */
@@ -79,6 +68,7 @@
   readonly logger: Logger;
   /** Whether the store is reachable from this entry. */
   readonly isStoreReachable: () => boolean;
+  readonly applyListing: ListingHandler;
   /** Returns the quarantined causes in force, which are sent to each entry that is linked. */
   readonly quarantinedCauses: () => readonly QuarantinedCause[];
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
@@ -108,15 +98,6 @@
 const BATCH_WINDOW_MS = 4;
 /** Number of random entries that a digest is sent to. */
 const DIGEST_FANOUT = 2;
-/**
- * Delay before records that a peer has announced are pulled from it, in milliseconds. A reachable store delivers the
- * records itself within this time, which spares the peer the transfer.
- */
-const PULL_DELAY_MS = 500;
-/** Pull delay for records that this entry does not read from the store, or cannot read, in milliseconds. */
-const SHORT_PULL_DELAY_MS = 30;
-/** Pull delay until the first catalogue is received, while the store is reachable, in milliseconds. */
-const INITIAL_PULL_DELAY_MS = 150;
 /**
  * Upper bound of the random delay of an announcement, in milliseconds. Most entries receive a change from their own
  * watch in the meantime.
@@ -126,6 +107,7 @@
 class LinkedPeers implements Peers {
   readonly #options: PeersOptions;
   readonly #handover;
+  readonly #exchange;
   readonly #pool;
   readonly #endpoint: EndpointOptions;
   #pendingUpdates: ((nowMs: number) => unknown[])[] = [];
@@ -137,7 +119,6 @@
   readonly #accepted = new Set<Link>();
   #isStopped = false;
   #isAnnouncePending = false;
-  #isPullPending = false;
   /** Addresses that are to be dialled soon. */
   readonly #plannedDials = new Set<string>();
   #cancelDial = (): void => undefined;
@@ -146,6 +127,7 @@
     this.#options = options;
     const { member, incarnation, peerKeys, clock, runningJobs } = options;
     this.#handover = createJobHandover(runningJobs);
+    this.#exchange = createRegistryExchange(options);
     this.#endpoint = {
       identity: {
         node: member.name,
@@ -279,38 +261,10 @@
   }
 
   #sendDigest(links: readonly Link[]): void {
-    const positions = newestPositions(this.#options.holder.current());
-    const isStoreReachable = this.#options.isStoreReachable();
+    const digest = this.#exchange.digest();
     for (const link of links) {
-      link.send({ type: FrameType.RegistryDigest, positions, isStoreReachable });
-    }
-  }
-
-  /** Pulls the announced records from a peer if they are still missing after a delay; one pull is pending at a time. */
-  #schedulePull(link: Link, announced: Partial<Positions>): void {
-    const { holder, clock } = this.#options;
-    if (this.#isPullPending || !isBehind(holder.current().positions, announced)) {
-      return;
-    }
-    this.#isPullPending = true;
-    clock.after(this.#pullDelayMs(announced), () => {
-      this.#isPullPending = false;
-      const { positions } = holder.current();
-      if (isBehind(positions, announced)) {
-        link.send({ type: FrameType.RegistryPull, positions: { ...positions } });
-      }
-    });
-  }
-
-  #pullDelayMs(announced: Partial<Positions>): number {
-    const { holder, isStoreReachable } = this.#options;
-    const { catalogue, positions } = holder.current();
-    if (catalogue === undefined) {
-      return isStoreReachable() ? INITIAL_PULL_DELAY_MS : SHORT_PULL_DELAY_MS;
+      link.send(digest);
     }
-    const announcedCatalogue = announced[RecordKind.Catalogue] ?? initialPosition;
-    const lacksCatalogue = isAfter(announcedCatalogue, positions[RecordKind.Catalogue]);
-    return lacksCatalogue && isStoreReachable() ? PULL_DELAY_MS : SHORT_PULL_DELAY_MS;
   }
 
   #dialPeriodically(): void {
@@ -418,45 +372,24 @@
     return dialled?.peer.incarnation === incarnation && dialled.isOpen();
   }
 
-  #mergeRecords(link: Link, values: readonly unknown[], positions: Partial<Positions>): void {
-    const { holder, logger } = this.#options;
-    const { records, unreadable, firstError } = decodeRecords(values);
-    if (unreadable > 0) {
-      logger.warn('registry records of a peer cannot be read', {
-        peer: link.peer.node,
-        unreadable,
-        received: values.length,
-        firstError,
-      });
-    }
-    // Without the dropped records, the others are not complete up to the peer's positions.
-    holder.merge(records, unreadable > 0 ? {} : positions, link.peer.node);
-  }
-
   #handle(link: Link, frame: Frame): void {
-    const { holder, clock } = this.#options;
     switch (frame.type) {
       case FrameType.LoadUpdates: {
-        const nowMs = clock.now();
+        const nowMs = this.#options.clock.now();
         for (const change of frame.changes) {
           applyUpdate(this.#options, link.peer.node, change, nowMs);
         }
         break;
       }
-      case FrameType.RegistryPull: {
-        const registry = holder.current();
-        const records = recordsSince(registry, frame.positions as Partial<Positions>);
-        if (records.length > 0) {
-          link.send({ type: FrameType.RegistryRecords, positions: { ...registry.positions }, records });
-        }
+      case FrameType.RegistryPull:
+        this.#exchange.receivePull(link, frame);
         break;
-      }
       case FrameType.RegistryDigest:
         this.#recordStoreState(link.peer.node, frame.isStoreReachable);
-        this.#schedulePull(link, frame.positions as Partial<Positions>);
+        this.#exchange.receiveDigest(link, frame);
         break;
       case FrameType.RegistryRecords:
-        this.#mergeRecords(link, frame.records, frame.positions as Partial<Positions>);
+        this.#exchange.receiveRecords(link, frame);
         break;
       default:
         break;
--- a/packages/membership/src/registry-holder.ts
+++ b/packages/membership/src/registry-holder.ts
@@ -28,8 +28,14 @@
    * @param records - the records
    * @param positions - positions up to which the records are complete after the merge
    * @param peer - name of the entry that sent the records; undefined if this entry has read them from the store
+   * @param removalsSince - positions before which the records may lack tombstones, if they are listings
    */
-  merge(records: readonly RegistryRecord[], positions: Partial<Positions>, peer?: string): void;
+  merge(
+    records: readonly RegistryRecord[],
+    positions: Partial<Positions>,
+    peer?: string,
+    removalsSince?: Partial<Positions>,
+  ): void;
   /** Drops the records that are not merged yet and that a listing of their kind, begun after them, lacks. */
   dropMissing(kind: RecordKind, listing: RecordBatch): void;
   /**
@@ -69,7 +75,12 @@
     return this.#registry;
   }
 
-  merge(records: readonly RegistryRecord[], positions: Partial<Positions>, peer?: string): void {
+  merge(
+    records: readonly RegistryRecord[],
+    positions: Partial<Positions>,
+    peer?: string,
+    removalsSince?: Partial<Positions>,
+  ): void {
     this.#recordEra(records, positions);
     const certain: RegistryRecord[] = [];
     for (const record of records) {
@@ -80,7 +91,7 @@
         certain.push(record);
       }
     }
-    this.#replace(mergeRecords(this.#registry, certain, this.#complete(positions)), peer);
+    this.#replace(mergeRecords(this.#registry, certain, this.#complete(positions), removalsSince), peer);
   }
 
   dropMissing(kind: RecordKind, { records, position }: RecordBatch): void {
--- a/packages/membership/src/removal-guard.ts
+++ b/packages/membership/src/removal-guard.ts
@@ -25,8 +25,12 @@
    * @param nowMs - current time
    */
   recordOutage(outageMs: number, nowMs: number): void;
-  /** Records that the store has returned with an older copy. */
-  recordRestoration(nowMs: number): void;
+  /** Records that registrations may have lapsed while the store was away, and are just written again. */
+  recordLapses(nowMs: number): void;
+  /** Records that the store has returned with an older copy, in a new era. */
+  recordRestoration(era: number, nowMs: number): void;
+  /** Records the era of a listing: a later one than before means that the store has returned with an older copy. */
+  recordEra(era: number, nowMs: number): void;
   /**
    * Filters changes: holds back removals of servers after the store was away, and drops a removal that was held back when a
    * newer record of the same object arrives.
@@ -72,15 +76,29 @@
 export function createRemovalGuard(kind: RecordKind): RemovalGuard {
   const held = new Map<string, RegistryRecord>();
   let holdsUntilMs = 0;
+  /** The latest known era of the store; undefined before the first listing. */
+  let era: number | undefined;
+  const recordLapses = (nowMs: number): void => {
+    holdsUntilMs = Math.max(holdsUntilMs, nowMs + RE_REGISTRATION_MS);
+  };
+  const recordRestoration = (latest: number, nowMs: number): void => {
+    era = latest;
+    held.clear();
+    holdsUntilMs = nowMs + (kind === RecordKind.Evacuation ? EVACUATION_REWRITE_MS : RE_REGISTRATION_MS);
+  };
   return {
     recordOutage: (outageMs, nowMs) => {
       if (outageMs >= MIN_OUTAGE_MS) {
-        holdsUntilMs = Math.max(holdsUntilMs, nowMs + RE_REGISTRATION_MS);
+        recordLapses(nowMs);
       }
     },
-    recordRestoration: (nowMs) => {
-      held.clear();
-      holdsUntilMs = nowMs + (kind === RecordKind.Evacuation ? EVACUATION_REWRITE_MS : RE_REGISTRATION_MS);
+    recordLapses,
+    recordRestoration,
+    recordEra: (latest, nowMs) => {
+      if (era !== undefined && latest > era) {
+        recordRestoration(latest, nowMs);
+      }
+      era = Math.max(era ?? latest, latest);
     },
     hold: (records, nowMs) => {
       const present: RegistryRecord[] = [];
--- a/packages/membership/test/evacuation.test.ts
+++ b/packages/membership/test/evacuation.test.ts
@@ -3,10 +3,12 @@
 import { describe, it } from 'node:test';
 import { createManualClock, createRandom, type ManualClock } from '@toucanbend/core';
 import {
+  applyTransfer,
   createFollower,
   createRegistryHolder,
   createStoreHealth,
   isReader,
+  type ListingHandler,
   type RegistryHolder,
 } from '@toucanbend/membership';
 import {
@@ -14,10 +16,10 @@
   isBehind,
   newestPositions,
   RecordKind,
-  recordsSince,
   type RegistrySource,
   type SourceError,
   SourceErrorKind,
+  transferOf,
 } from '@toucanbend/registry';
 import { err, type Result } from 'neverthrow';
 import { silentLogger as logger } from '../../../fakes/silent-logger.js';
@@ -44,6 +46,7 @@
 interface Entry {
   readonly name: string;
   readonly holder: RegistryHolder;
+  readonly applyListing: ListingHandler;
   readonly calls: string[];
   readonly isReachingStore: () => boolean;
   path: Path;
@@ -137,7 +140,8 @@
       this.entries.splice(this.entries.indexOf(entry), 1);
     };
     const { isReachable: isReachingStore } = storeHealth;
-    const entry: Entry = { name, holder, calls: [], isReachingStore, path, isLinked, stop };
+    const { applyListing } = follower;
+    const entry: Entry = { name, holder, applyListing, calls: [], isReachingStore, path, isLinked, stop };
     this.entries.push(entry);
     follower.start();
     await settle();
@@ -187,7 +191,7 @@
     const registry = from.holder.current();
     const { positions } = to.holder.current();
     if (isBehind(positions, newestPositions(registry))) {
-      to.holder.merge(recordsSince(registry, positions), registry.positions, from.name);
+      applyTransfer(to.holder, to.applyListing, transferOf(registry, positions, true), from.name);
     }
   }
 }
--- a/packages/membership/test/odd-frames.test.ts
+++ b/packages/membership/test/odd-frames.test.ts
@@ -62,6 +62,7 @@
     random: createRandom(1),
     logger,
     isStoreReachable: () => true,
+    applyListing: ignore,
     onLoadUpdate: ignore,
     onQuarantineUpdate: ignore,
     quarantinedCauses: () => [],
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -12,6 +12,7 @@
   type EntryMember,
   listServers,
   type QuarantinedCause,
+  type RecordBatch,
   RecordKind,
   type RegistryRecord,
   ServerState,
@@ -65,11 +66,12 @@
   readonly restrictions?: readonly RestrictionUpdate[];
   readonly runningJobs?: () => readonly PlacedRunningJob[];
   readonly onLoadUpdate?: (from: string, update: LoadUpdate) => void;
+  readonly onListing?: (kind: RecordKind, listing: RecordBatch) => void;
 }
 
 async function startEntry(options: EntryOptions): Promise<Entry> {
   const { member, incarnation, seeds, isStoreReachable, quarantined = [], restrictions = [] } = options;
-  const { runningJobs = () => [], onLoadUpdate = ignore } = options;
+  const { runningJobs = () => [], onLoadUpdate = ignore, onListing = ignore } = options;
   const restrictionUpdates: RestrictionUpdate[] = [];
   let resolveRestriction = ignore;
   const whenRestricted = new Promise<void>((resolve) => {
@@ -101,6 +103,9 @@
     random: createRandom(1),
     logger,
     isStoreReachable: () => isStoreReachable,
+    applyListing: (kind, listing) => {
+      onListing(kind, listing);
+    },
     onLoadUpdate,
     onQuarantineUpdate: (update) => {
       quarantineUpdates.push(update);
@@ -218,6 +223,29 @@
     assert.equal(other.holder.current().positions[RecordKind.Server].revision, 12);
   });
 
+  it('send all records to an entry that may know servers whose removal the sender does not know', async () => {
+    const [startedAddress, otherAddress] = await Promise.all([freeAddress(), freeAddress()]);
+    const common = { incarnation: 'i1', isStoreReachable: true };
+    const dataCentre = 'bagmati-a';
+    const member = { name: 'started', address: startedAddress, dataCentre };
+    const started = await startEntry({ member, seeds: [], ...common });
+    started.holder.merge([server('s2', 5)], { [RecordKind.Server]: at(9) }, undefined, {
+      [RecordKind.Server]: at(9),
+    });
+    const received = new Promise<RecordBatch>((resolve) => {
+      void startEntry({
+        member: { name: 'other', address: otherAddress, dataCentre },
+        seeds: [startedAddress],
+        onListing: (_kind, listing) => {
+          resolve(listing);
+        },
+        ...common,
+      });
+    });
+    const { records, position } = await received;
+    assert.deepEqual([records.map(({ id }) => id), position], [['s2'], at(9)]);
+  });
+
   it('tell an entry that starts later which parts of prompts are quarantined', async () => {
     const [first, second] = await Promise.all([freeAddress(), freeAddress()]);
     const member = (name: string, address: string): EntryMember => ({
--- a/packages/membership/test/restored-store.test.ts
+++ b/packages/membership/test/restored-store.test.ts
@@ -3,10 +3,12 @@
 import { describe, it } from 'node:test';
 import { createManualClock, createRandom, type ManualClock } from '@toucanbend/core';
 import {
+  applyTransfer,
   createFollower,
   createRegistrar,
   createRegistryHolder,
   createStoreHealth,
+  type ListingHandler,
   type RegistryHolder,
 } from '@toucanbend/membership';
 import { type Logger } from '@toucanbend/observability';
@@ -17,9 +19,9 @@
   listServers,
   newestPositions,
   RecordKind,
-  recordsSince,
   type RegistryRecord,
   ServerState,
+  transferOf,
 } from '@toucanbend/registry';
 import { CopiedStore } from './support/copied-store.js';
 
@@ -40,6 +42,7 @@
 
 interface Entry {
   readonly holder: RegistryHolder;
+  readonly applyListing: ListingHandler;
   readonly clock: ManualClock;
   readyServers(): string[];
   version(): number;
@@ -54,7 +57,7 @@
 ): Promise<Entry> {
   const isShared = !isReader;
   const holder = createRegistryHolder({ clock, logger, expiryMs: EXPIRY_MS, onDeferred: ignore });
-  createFollower({
+  const follower = createFollower({
     source: store,
     holder,
     clock,
@@ -70,10 +73,12 @@
     linkedEntryCount: () => 0,
     isReader: () => isReader,
     onChanges: ignore,
-  }).start();
+  });
+  follower.start();
   await settle();
   return {
     holder,
+    applyListing: follower.applyListing,
     clock,
     readyServers: () =>
       listServers(holder.current())
@@ -95,7 +100,7 @@
   const registry = from.holder.current();
   const { positions } = to.holder.current();
   if (isBehind(positions, newestPositions(registry))) {
-    to.holder.merge(recordsSince(registry, positions), registry.positions);
+    applyTransfer(to.holder, to.applyListing, transferOf(registry, positions, true), 'peer');
   }
 }
 
--- a/packages/registry/src/index.ts
+++ b/packages/registry/src/index.ts
@@ -6,6 +6,7 @@
 export * from './member.js';
 export * from './quarantined-cause.js';
 export * from './registry-record.js';
+export * from './registry-transfer.js';
 export * from './registry.js';
 export * from './restored-record.js';
 export * from './source.js';
--- a/packages/registry/src/registry.ts
+++ b/packages/registry/src/registry.ts
@@ -8,7 +8,7 @@
   RecordKind,
   type RegistryRecord,
 } from './registry-record.js';
-import { initialPosition, isAfter, laterPosition, type StorePosition } from './store-position.js';
+import { isAfter, laterPosition, type StorePosition } from './store-position.js';
 
 /** Immutable state of the registry. */
 export interface Registry {
@@ -17,6 +17,11 @@
    * `orderOf`.
    */
   readonly positions: Positions;
+  /**
+   * For each kind, the position after which all removals are known. Those before it may have left no tombstone: a listing lacks
+   * what was removed, and the oldest tombstones are dropped.
+   */
+  readonly removalsSince: Positions;
   readonly catalogue: Catalogue | undefined;
   readonly records: ReadonlyMap<string, RegistryRecord>;
 }
@@ -24,6 +29,7 @@
 /** A registry without records. */
 export const emptyRegistry: Registry = {
   positions: initialPositions,
+  removalsSince: initialPositions,
   catalogue: undefined,
   records: new Map(),
 };
@@ -66,15 +72,24 @@
   };
 }
 
-function dropOldestTombstones(records: Map<string, RegistryRecord>): void {
+/**
+ * Drops the oldest tombstones beyond the limit.
+ *
+ * @returns for each kind, the position of the newest one that was dropped
+ */
+function dropOldestTombstones(records: Map<string, RegistryRecord>): Partial<Positions> {
   const tombstones = [...records].filter(
     ([, { kind, value }]) => value === undefined && kind !== RecordKind.Evacuation,
   );
-  const excess = tombstones.length - MAX_TOMBSTONES;
+  const dropped: Partial<Record<RecordKind, StorePosition>> = {};
   tombstones
     .sort(([, left], [, right]) => (isAfter(left.position, right.position) ? 1 : -1))
-    .slice(0, Math.max(0, excess))
-    .forEach(([key]) => records.delete(key));
+    .slice(0, Math.max(0, tombstones.length - MAX_TOMBSTONES))
+    .forEach(([key, { kind, position }]) => {
+      records.delete(key);
+      dropped[kind] = position;
+    });
+  return dropped;
 }
 
 /** Position of a catalogue, which its record alone determines: a node that lacks the record is not up to date. */
@@ -88,12 +103,14 @@
  * @param registry - the registry, which is not modified
  * @param records - records in any order
  * @param positions - positions up to which the records are complete after the merge; ignored for catalogues
+ * @param removalsSince - positions before which the records may lack tombstones, if they are listings
  * @returns the merged registry
  */
 export function mergeRecords(
   registry: Registry,
   records: readonly RegistryRecord[],
   positions: Partial<Positions>,
+  removalsSince: Partial<Positions> = {},
 ): Registry {
   const merged = new Map(registry.records);
   let catalogue = registry.catalogue;
@@ -104,12 +121,13 @@
       catalogue = newestCatalogue(catalogue, record);
     }
   }
-  dropOldestTombstones(merged);
+  const dropped = dropOldestTombstones(merged);
   return {
     positions: {
       ...laterPositions(registry.positions, positions),
       [RecordKind.Catalogue]: cataloguePosition(catalogue),
     },
+    removalsSince: laterPositions(laterPositions(registry.removalsSince, removalsSince), dropped),
     catalogue,
     records: merged,
   };
@@ -138,48 +156,6 @@
   return [...listed, ...tombstones];
 }
 
-/**
- * Returns the records that are newer than another node's positions, tombstones included. A kind without a position is left out:
- * the node runs an older version, which could not read its records, and would drop the positions of the others with them.
- *
- * @param registry - the registry
- * @param peerPositions - for each kind, the position up to which the other node's records are complete
- * @returns the newer records
- */
-export function recordsSince(registry: Registry, peerPositions: Partial<Positions>): RegistryRecord[] {
-  return [...registry.records.values()].filter((record) => {
-    const position = peerPositions[record.kind];
-    return position !== undefined && isAfter(orderOf(record), position);
-  });
-}
-
-/**
- * Returns the position of the newest record of each kind.
- *
- * @param registry - the registry
- * @returns the positions; the initial one for a kind without records
- */
-export function newestPositions(registry: Registry): Positions {
-  const newest = { ...initialPositions };
-  for (const record of registry.records.values()) {
-    newest[record.kind] = laterPosition(newest[record.kind], orderOf(record));
-  }
-  return newest;
-}
-
-/**
- * Returns whether another node has announced records that are newer than this node's positions.
- *
- * @param ownPositions - positions up to which this node's records are complete
- * @param announced - position of the newest record of each kind at the other node
- * @returns whether to pull records from that node
- */
-export function isBehind(ownPositions: Positions, announced: Partial<Positions>): boolean {
-  return Object.values(RecordKind).some((kind) =>
-    isAfter(announced[kind] ?? initialPosition, ownPositions[kind]),
-  );
-}
-
 /**
  * Lists the registered backend servers.
  *
--- a/packages/registry/test/evacuation.test.ts
+++ b/packages/registry/test/evacuation.test.ts
@@ -13,8 +13,8 @@
   RecordKind,
   type Registry,
   type RegistryRecord,
-  recordsSince,
   type StorePosition,
+  transferOf,
 } from '@toucanbend/registry';
 
 const at = (revision: number, era = 1): StorePosition => ({ era, revision });
@@ -51,7 +51,7 @@
     const ended = registryOf(begin('a', at(10)), end('b', at(12)));
     const lacking = mergeRecords(emptyRegistry, [begin('b', at(5))], { [kind]: at(6) });
     assert.equal(isBehind(lacking.positions, newestPositions(ended)), true);
-    const sent = JSON.parse(JSON.stringify(recordsSince(ended, lacking.positions))) as unknown[];
+    const sent = JSON.parse(JSON.stringify(transferOf(ended, lacking.positions, false).records)) as unknown[];
     const { records, unreadable } = decodeRecords(sent);
     assert.equal(unreadable, 0);
     const merged = mergeRecords(lacking, records, { [kind]: at(12) });
@@ -63,7 +63,7 @@
     const registry = registryOf(begin('a', at(10)), end('s1', at(10)));
     const { [kind]: own, ...earlier } = registry.positions;
     assert.deepEqual(own, initialPosition);
-    assert.deepEqual(recordsSince(registry, earlier), []);
+    assert.deepEqual(transferOf(registry, earlier, false).records, []);
     const merged = mergeRecords(emptyRegistry, [], earlier);
     assert.deepEqual(merged.positions[kind], initialPosition);
   });
@@ -76,7 +76,7 @@
     }));
     const registry = mergeRecords(registryOf(begin('a', at(10))), [end('a', at(20)), ...removals], {});
     const lacking = registryOf(begin('a', at(10)));
-    const pulled = mergeRecords(lacking, recordsSince(registry, lacking.positions), {});
+    const pulled = mergeRecords(lacking, transferOf(registry, lacking.positions, false).records, {});
     assert.deepEqual(evacuatedIn(pulled), []);
   });
 });
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -12,12 +12,12 @@
   newestPositions,
   RecordKind,
   type RegistryRecord,
-  recordsSince,
   RepeatPolicy,
   type Route,
   ServerState,
   type StorePosition,
   withTombstones,
+  transferOf,
 } from '@toucanbend/registry';
 
 function route(pathPrefix: string): Route {
@@ -109,7 +109,7 @@
     );
     const peerPositions = { ...registry.positions, [RecordKind.Server]: at(15) };
     assert.deepEqual(
-      recordsSince(registry, peerPositions).map((record) => record.id),
+      transferOf(registry, peerPositions, false).records.map((record) => record.id),
       ['s2'],
     );
   });
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -142,17 +142,31 @@
   [FrameType.ConfigurationChanges]: z.object({ from: count, to: count, payload: z.string() }),
   /** Load updates: jobs that an entry placed on backend servers, jobs that ended, and server failures. */
   [FrameType.LoadUpdates]: z.object({ changes: z.array(z.unknown()).max(MAX_LOAD_UPDATES) }),
-  /** Requests the registry records that are newer than the sender's positions. */
-  [FrameType.RegistryPull]: z.object({ positions: z.record(z.string(), storePosition) }),
-  /** Announces the position of the sender's newest record of each kind, and whether it can reach the store. */
+  /**
+   * Requests the registry records that are newer than the sender's positions; `mayList` if all records of a kind may be sent where
+   * the newer ones would lack removals.
+   */
+  [FrameType.RegistryPull]: z.object({
+    positions: z.record(z.string(), storePosition),
+    mayList: z.boolean().optional(),
+  }),
+  /**
+   * Announces the position of the sender's newest record of each kind, whether it can reach the store, and the positions after
+   * which it knows all removals.
+   */
   [FrameType.RegistryDigest]: z.object({
     positions: z.record(z.string(), storePosition),
     isStoreReachable: z.boolean(),
+    removalsSince: z.record(z.string(), storePosition).optional(),
   }),
-  /** Registry records, with the position up to which the sender's records of each kind are complete. */
+  /**
+   * Registry records, the positions up to which they make those of the receiver complete, and the kinds of which they are all.
+   * Senders of earlier versions, which leave out `listed`, may lack removals before these positions.
+   */
   [FrameType.RegistryRecords]: z.object({
     positions: z.record(z.string(), storePosition),
     records: z.array(z.unknown()),
+    listed: z.array(z.string()).optional(),
   }),
 } as const;
 
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -383,6 +383,14 @@
     to: 'this.#fail(attempt, { failure: AttemptFailure.InDoubt, detail });\n    }',
     tests: 'silent-server',
   },
+  {
+    promise: 'nothing is sent to servers that have left',
+    mistake: 'records without the removals are taken for complete',
+    file: 'packages/registry/src/registry-transfer.ts',
+    from: 'return kind === RecordKind.Catalogue || (since !== undefined && !isAfter(since, position));',
+    to: 'return kind === RecordKind.Catalogue || since !== undefined || isAfter(position, position);',
+    tests: 'missing-removals',
+  },
   {
     promise: 'a request in flight gets an answer',
     mistake: 'a planned stop places requests that it cannot complete',
