Services: part of an answer and an invalid status are no answers to a call

Callers saw, at the product's own entry: part of an answer without a length, whose connection was reset, as the complete answer to their call; and an entry that ended, with all its connections, when a service answered with the status 000.

Cause: the side's client of services took the end of a response for the end of the answer, although libuv reports a reset that arrives together with data as an end, and passed any status on. The entry's writeHead then throws, and an exception in a process of js-csp ends the program.

Change: one function observes resets for both clients. The side reports such answers as lost, so that the call is in doubt. Links reject an answer frame with such a status.

--- a/fakes/service.ts
+++ b/fakes/service.ts
@@ -15,6 +15,10 @@
   LoseAnswer = 'lose_answer',
   /** Calls run, but never receive a response. */
   Silent = 'silent',
+  /** Calls run, and part of an answer without a length arrives before the connection is reset. */
+  CutAnswer = 'cut_answer',
+  /** Calls run, and their answers have the status 000. */
+  OddStatus = 'odd_status',
 }
 
 /**
@@ -46,6 +50,12 @@
         setTimeout(() => {
           if (fault === ServiceFault.LoseAnswer) {
             request.socket.destroy();
+          } else if (fault === ServiceFault.CutAnswer) {
+            request.socket.write('HTTP/1.1 200 OK\r\n\r\nhalf of a va', () => {
+              request.socket.resetAndDestroy();
+            });
+          } else if (fault === ServiceFault.OddStatus) {
+            request.socket.end('HTTP/1.1 000 Odd\r\ncontent-length: 6\r\n\r\na vane');
           } else if (fault === ServiceFault.None) {
             sendJson(response, { confirmed: text, run: runs[text] });
           }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './byte-buffer.js';
 export * from './clamped-number.js';
 export * from './clock.js';
+export * from './connection-reset.js';
 export * from './finding.js';
 export * from './key.js';
 export * from './outcome.js';
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,6 +1,6 @@
 /** An attempt: one HTTP request to one backend server, on a connection of its own. */
 import { request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
-import { type Clock } from '@toucanbend/core';
+import { type Clock, observeReset } from '@toucanbend/core';
 import { type AnswerForm } from '@toucanbend/registry';
 import { type ServerNotice } from '@toucanbend/restrictions';
 import { createChunkLimit } from './chunk-limit.js';
@@ -119,7 +119,7 @@
   isSent = false;
   hasHead = false;
   /** Whether the server reset the connection. */
-  isReset = false;
+  isReset = (): boolean => false;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
@@ -227,7 +227,7 @@
   });
   message.on('end', () => {
     body.flush();
-    if (message.complete && (start.isFramed || !reporter.isReset)) {
+    if (message.complete && (start.isFramed || !reporter.isReset())) {
       reporter.report({ type: AttemptEventType.Ended });
     }
   });
@@ -270,11 +270,7 @@
       reporter.failInterrupted('head of the answer too long');
       outgoing.destroy();
     });
-    // libuv reports a reset that arrives together with data as the end of the stream, which completes an answer without
-    // a length. Only a connection that was not reset still has a peer at that time.
-    socket.prependOnceListener('end', () => {
-      reporter.isReset = socket.remoteAddress === undefined;
-    });
+    reporter.isReset = observeReset(socket);
     socket.once('connect', () => {
       cancelTimer();
       reporter.isSent = true;
--- a/packages/service/src/http-service.ts
+++ b/packages/service/src/http-service.ts
@@ -1,6 +1,6 @@
 /** Client of plain services over HTTP. */
-import { request } from 'node:http';
-import { createByteBuffer, type ServiceCall } from '@toucanbend/core';
+import { type IncomingMessage, request } from 'node:http';
+import { createByteBuffer, observeReset, type ServiceCall } from '@toucanbend/core';
 import { err, ok, type Result } from 'neverthrow';
 import {
   type PendingCall,
@@ -12,6 +12,19 @@
 
 const MAX_RESPONSE_BYTES = 1024 * 1024;
 
+/** Lowest status of an answer; Node's parser accepts lower ones. */
+const MIN_FINAL_STATUS = 200;
+
+/** Returns why a response that has ended is not the whole answer to the call; undefined if it is. */
+function faultOf(response: IncomingMessage, isReset: boolean): string | undefined {
+  const { statusCode: status = 0, headers, complete } = response;
+  const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  if (status < MIN_FINAL_STATUS) {
+    return `the response has the invalid status ${String(status)}`;
+  }
+  return complete && (isFramed || !isReset) ? undefined : 'the response is incomplete: connection reset';
+}
+
 /**
  * Calls a plain service over HTTP.
  *
@@ -36,6 +49,7 @@
     };
     let abandon: () => void = () => undefined;
     const answer = new Promise<Result<ServiceAnswer, ServiceError>>((resolve) => {
+      let isReset = (): boolean => false;
       const url = new URL(call.path, this.#base);
       const pending = request(url, { method: call.method, headers, agent: false }, (response) => {
         const received = createByteBuffer();
@@ -50,10 +64,18 @@
           resolve(err({ kind: ServiceErrorKind.ResponseLost, message: error.message }));
         });
         response.on('end', () => {
+          const fault = faultOf(response, isReset());
+          if (fault !== undefined) {
+            resolve(err({ kind: ServiceErrorKind.ResponseLost, message: fault }));
+            return;
+          }
           const contentType = response.headers['content-type'] ?? 'application/octet-stream';
           resolve(ok({ status: response.statusCode ?? 0, contentType, body: received.bytes() }));
         });
       });
+      pending.on('socket', (socket) => {
+        isReset = observeReset(socket);
+      });
       pending.on('error', (error: NodeJS.ErrnoException) => {
         const kind = error.code === 'ECONNREFUSED' ? ServiceErrorKind.NotSent : ServiceErrorKind.ResponseLost;
         resolve(err({ kind, message: error.message }));
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -55,6 +55,8 @@
 const MAX_LOAD_UPDATES = 4_096;
 
 const name = z.string().max(256);
+/** A status that an answer can have; Node cannot write one below 100 or of four digits, and those below 200 end no call. */
+const finalStatus = z.number().int().min(200).max(999);
 const count = z.number().int().nonnegative();
 const milliseconds = z.number().nonnegative();
 /** A position in the history of the store. */
@@ -118,7 +120,7 @@
   /** Tokens of an answer; `offset` is the number of tokens that precede them in the answer. */
   [FrameType.Output]: z.object({ ...attemptFields, offset: count, tokens: z.array(z.string()) }),
   /** The complete response of a plain service. */
-  [FrameType.Answer]: z.object({ ...attemptFields, status: count, contentType: name, bytes }),
+  [FrameType.Answer]: z.object({ ...attemptFields, status: finalStatus, contentType: name, bytes }),
   [FrameType.Done]: z.object({
     ...attemptFields,
     outcome: z.enum(Outcome),
--- a/packages/wire/test/codec.test.ts
+++ b/packages/wire/test/codec.test.ts
@@ -120,3 +120,19 @@
   const result = createFrameDecoder(100).push(Buffer.from([0, 1, 0, 0]));
   assert.equal(result._unsafeUnwrapErr().kind, FrameErrorKind.TooLong);
 });
+
+test('an answer with a status that no caller can get is rejected', () => {
+  const answer = (status: number): Frame => ({
+    type: FrameType.Answer,
+    requestId: 'r',
+    attempt: 1,
+    status,
+    contentType: 'text/plain',
+    bytes: new Uint8Array([1]),
+  });
+  for (const status of [0, 1, 99, 101, 199, 1_000]) {
+    const decoded = decodeFrame(encodeFrame(answer(status)).subarray(4));
+    assert.equal(decoded._unsafeUnwrapErr().kind, FrameErrorKind.BadFields, String(status));
+  }
+  assert.ok(decodeFrame(encodeFrame(answer(200)).subarray(4)).isOk());
+});
--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -78,6 +78,17 @@
     assert.equal(await runsOf('lost answer'), 1);
   });
 
+  for (const fault of [ServiceFault.CutAnswer, ServiceFault.OddStatus]) {
+    test(`an answer that is none ends as unknown, and later calls are served (${fault})`, async () => {
+      await forEachBackend('/fault', fault);
+      const result = await confirm(fault);
+      await forEachBackend('/fault', ServiceFault.None);
+      assert.equal(result.outcome, 'unknown');
+      assert.equal(await runsOf(fault), 1);
+      assert.equal((await confirm(`after ${fault}`)).outcome, 'complete');
+    });
+  }
+
   test('an answer survives a link whose connection is silently dropped', async () => {
     await forEachBackend('/delay', 600);
     const pending = confirm('silent link', 'silent-link');
