--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -195,6 +195,7 @@
     applyListing: (kind, listing, peer) => {
       follower.applyListing(kind, listing, peer);
     },
+    onStoreReturned: storeHealth.returned,
     onLoadUpdate: (from, update) => {
       applyLoadUpdate(loadTracker, restrictions, from, update, engineOf, clock.now());
     },
--- a/packages/membership/src/follower.ts
+++ b/packages/membership/src/follower.ts
@@ -58,6 +58,8 @@
 /** Base of the exponential backoff after failed calls, in milliseconds; doubled for each failure up to the maximum. */
 const BASE_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
+/** Wait of a reader's watch after a failed one, in milliseconds: it shows soon that the store has returned. */
+const OUTAGE_WAIT_MS = 100;
 /** Maximum wait of a watch, in milliseconds: half of the maximum that the store allows. */
 const MAX_WAIT_MS = 15_000;
 /** Interval at which an entry checks whether it has become a reader, in milliseconds. */
@@ -86,8 +88,11 @@
   #round = 0;
   #failures = 0;
   #failingSinceMs = 0;
+  /** When the last failed call was made: the store may have returned since. */
+  #lastFailedAtMs = 0;
   #isStopped = false;
   #cancelTimer = (): void => undefined;
+  #cancelRelease = (): void => undefined;
 
   constructor(options: FollowerOptions, kind: RecordKind, watchSettings: WatchSettings) {
     this.#options = options;
@@ -102,19 +107,19 @@
         this.#listAgain(MAX_RELIST_DELAY_MS * options.random.fraction());
       }
     });
-    options.storeHealth.onReachable((outageMs) => {
-      this.#guard.recordOutage(outageMs, options.clock.now());
+    options.storeHealth.onReachable(({ silentMs, returnedAtMs }) => {
+      this.#guard.recordOutage(silentMs, returnedAtMs);
     });
   }
 
   stop(): void {
     this.#isStopped = true;
     this.#cancelTimer();
+    this.#cancelRelease();
   }
 
   async step(): Promise<void> {
     if (this.#isReadByOthers()) {
-      this.#releaseHeld();
       this.#schedule(READER_CHECK_INTERVAL_MS);
       return;
     }
@@ -185,6 +190,7 @@
     const before = holder.current();
     const applied = this.#guard.holdMissing(before, listing, clock.now());
     holder.merge(applied, this.#completePosition(position), peer, { [this.#kind]: position });
+    this.#scheduleRelease();
     // Other changes that only a listing shows reach the other entries by the periodic digests, too late for evacuations.
     const { begun, ended } = evacuationsChanged(holder.current(), before);
     if (begun.length + ended.length > 0) {
@@ -193,14 +199,15 @@
   }
 
   async #list(): Promise<boolean> {
-    const { source, logger } = this.#options;
+    const { source, logger, clock } = this.#options;
     this.#isListing = true;
+    const startedAtMs = clock.now();
     const listed = await source.list(this.#kind);
     this.#isListing = false;
     if (listed.isErr()) {
-      return this.#recordCall(listed.error.message, false);
+      return this.#recordFailure(listed.error.message, startedAtMs);
     }
-    this.#recordCall('', true);
+    this.#recordAnswer();
     const { position, records } = listed.value;
     this.#position = position;
     this.#applyListing(listed.value);
@@ -217,6 +224,7 @@
   async #watch(ownPosition: StorePosition, round: number): Promise<boolean> {
     const { source, holder, clock, onChanges } = this.#options;
     const position = this.#watchPosition(ownPosition);
+    const startedAtMs = clock.now();
     const changes = await source.watch(this.#kind, position, this.#waitMs());
     if (round !== this.#round) {
       return false;
@@ -226,16 +234,16 @@
         this.#position = undefined;
         return true;
       }
-      return this.#recordCall(changes.error.message, false);
+      return this.#recordFailure(changes.error.message, startedAtMs);
     }
-    this.#recordCall('', true);
+    this.#recordAnswer();
     this.#position = laterPosition(position, changes.value.position);
     const present = this.#guard.hold(changes.value.records, clock.now());
     holder.merge(present, this.#completePosition(this.#position));
     if (present.length > 0) {
       onChanges();
     }
-    this.#releaseHeld();
+    this.#scheduleRelease();
     return true;
   }
 
@@ -255,13 +263,23 @@
     const { linkedEntryCount, random } = this.#options;
     const { waitMs, isShared } = this.#watchSettings;
     if (isShared) {
-      return waitMs;
+      return this.#failures > 0 ? Math.min(waitMs, OUTAGE_WAIT_MS) : waitMs;
     }
     const longestMs = Math.max(waitMs, Math.min(MAX_WAIT_MS, (waitMs * (linkedEntryCount() + 1)) / 2));
     return longestMs <= waitMs ? waitMs : longestMs * (1 - WAIT_JITTER * random.fraction());
   }
 
-  /** Applies the removals that were held back, once their objects have had time to be written again. */
+  /** Applies what is held back as soon as its objects have had time to be written again, whenever the store answers next. */
+  #scheduleRelease(): void {
+    this.#cancelRelease();
+    if (this.#guard.heldCount() > 0 && !this.#isStopped) {
+      const { clock } = this.#options;
+      this.#cancelRelease = clock.after(Math.max(0, this.#guard.holdsUntilMs() - clock.now()), () => {
+        this.#releaseHeld();
+      });
+    }
+  }
+
   #releaseHeld(): void {
     const { holder, clock, onChanges } = this.#options;
     const released = this.#guard.release(clock.now());
@@ -269,23 +287,27 @@
       holder.merge(released, this.#position === undefined ? {} : this.#completePosition(this.#position));
       onChanges();
     }
+    // A later outage may have extended the time.
+    this.#scheduleRelease();
   }
 
-  /** Records the result of a call to the store and returns whether the call was answered. */
-  #recordCall(error: string, isAnswered: boolean): boolean {
+  #recordAnswer(): void {
     const { storeHealth, clock } = this.#options;
-    if (isAnswered) {
-      if (this.#failures > 0) {
-        this.#guard.recordOutage(clock.now() - this.#failingSinceMs, clock.now());
-      }
-      this.#failures = 0;
-      storeHealth.answered();
-    } else {
-      this.#failingSinceMs = this.#failures === 0 ? clock.now() : this.#failingSinceMs;
-      this.#failures += 1;
-      storeHealth.failed(this.#kind, error);
+    if (this.#failures > 0) {
+      this.#guard.recordOutage(clock.now() - this.#failingSinceMs, this.#lastFailedAtMs);
     }
-    return isAnswered;
+    this.#failures = 0;
+    storeHealth.answered();
+  }
+
+  /** Records a call that was not answered; returns false. */
+  #recordFailure(error: string, startedAtMs: number): boolean {
+    const { storeHealth, clock } = this.#options;
+    this.#failingSinceMs = this.#failures === 0 ? clock.now() : this.#failingSinceMs;
+    this.#lastFailedAtMs = startedAtMs;
+    this.#failures += 1;
+    storeHealth.failed(this.#kind, error, startedAtMs);
+    return false;
   }
 
   #backoffMs(): number {
--- a/packages/membership/src/peers.ts
+++ b/packages/membership/src/peers.ts
@@ -69,6 +69,8 @@
   /** Whether the store is reachable from this entry. */
   readonly isStoreReachable: () => boolean;
   readonly applyListing: ListingHandler;
+  /** Called when the store answers a linked entry again. */
+  readonly onStoreReturned: () => void;
   /** Returns the quarantined causes in force, which are sent to each entry that is linked. */
   readonly quarantinedCauses: () => readonly QuarantinedCause[];
   /** Returns what is known of the restrictions of servers, which is sent to each entry that is linked. */
@@ -254,7 +256,9 @@
 
   #recordStoreState(node: string, isReachable: boolean): void {
     if (isReachable) {
-      this.#withoutStore.delete(node);
+      if (this.#withoutStore.delete(node)) {
+        this.#options.onStoreReturned();
+      }
     } else {
       this.#withoutStore.add(node);
     }
@@ -310,6 +314,8 @@
     link.onEnd((end) => {
       if (this.#dialled.get(node) === link) {
         this.#dialled.delete(node);
+        // The next process reports the store as reachable until a call fails.
+        this.#withoutStore.delete(node);
       }
       logger.warn('peer lost', { peer: node, end });
       if (end === LinkEnd.Closed) {
--- a/packages/membership/src/registrar.ts
+++ b/packages/membership/src/registrar.ts
@@ -64,6 +64,7 @@
 
   /** Registers the entry and returns the delay before the next call. */
   const register = async (): Promise<number> => {
+    const startedAtMs = clock.now();
     const registered = await source.register(member, LEASE_TTL_MS);
     return registered.match(
       (value) => {
@@ -73,7 +74,7 @@
         return RENEWAL_INTERVAL_MS;
       },
       ({ message }) => {
-        storeHealth.failed('register', message);
+        storeHealth.failed('register', message, startedAtMs);
         logger.warn('registration failed', { error: message });
         return RETRY_DELAY_MS;
       },
@@ -82,6 +83,7 @@
 
   /** Renews the lease and returns the delay before the next call. */
   const renew = async (renewed: Registration): Promise<number> => {
+    const startedAtMs = clock.now();
     const result = await source.renew(renewed);
     if (result.isErr() && result.error.kind === SourceErrorKind.LeaseEnded) {
       const { lease, position } = renewed;
@@ -90,7 +92,7 @@
       return 0;
     }
     result.match(storeHealth.answered, ({ message }) => {
-      storeHealth.failed('renew', message);
+      storeHealth.failed('renew', message, startedAtMs);
     });
     return result.isOk() ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS;
   };
--- a/packages/membership/src/removal-guard.ts
+++ b/packages/membership/src/removal-guard.ts
@@ -22,9 +22,9 @@
    * Records that the store is reachable again.
    *
    * @param outageMs - time without an answer, in milliseconds
-   * @param nowMs - current time
+   * @param returnedAtMs - when it may have returned, or is known to have returned
    */
-  recordOutage(outageMs: number, nowMs: number): void;
+  recordOutage(outageMs: number, returnedAtMs: number): void;
   /** Records that registrations may have lapsed while the store was away, and are just written again. */
   recordLapses(nowMs: number): void;
   /** Records that the store has returned with an older copy, in a new era. */
@@ -46,6 +46,8 @@
   holdMissing(registry: Registry, listing: RecordBatch, nowMs: number): RegistryRecord[];
   /** Number of removals that are held back. */
   heldCount(): number;
+  /** Until when removals are held back, in milliseconds. */
+  holdsUntilMs(): number;
   /** Returns the held removals and stops holding them, once their objects have had time to be written again; else none. */
   release(nowMs: number): RegistryRecord[];
 }
@@ -87,9 +89,9 @@
     holdsUntilMs = nowMs + (kind === RecordKind.Evacuation ? EVACUATION_REWRITE_MS : RE_REGISTRATION_MS);
   };
   return {
-    recordOutage: (outageMs, nowMs) => {
+    recordOutage: (outageMs, returnedAtMs) => {
       if (outageMs >= MIN_OUTAGE_MS) {
-        recordLapses(nowMs);
+        recordLapses(returnedAtMs);
       }
     },
     recordLapses,
@@ -133,6 +135,7 @@
       });
     },
     heldCount: () => held.size,
+    holdsUntilMs: () => holdsUntilMs,
     release: (nowMs) => {
       if (nowMs < holdsUntilMs || held.size === 0) {
         return [];
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -247,7 +247,7 @@
   it('holds removals back after an outage that only another call detected', async () => {
     const fixture = await start(batch(10, server('s1', 8)));
     await fixture.advance(600);
-    fixture.storeHealth.failed('renew', 'no answer');
+    fixture.storeHealth.failed('renew', 'no answer', fixture.clock.now());
     fixture.source.answer(batch(12, removal('s1', 12)));
     fixture.clock.advance(400);
     fixture.clock.advance(4_000);
@@ -261,7 +261,7 @@
     await fixture.advance(500);
     fixture.clock.advance(9_000);
     fixture.storeHealth.answered();
-    fixture.storeHealth.failed('server', 'cut');
+    fixture.storeHealth.failed('server', 'cut', 500);
     fixture.storeHealth.answered();
     await fixture.advance(500);
     fixture.source.answer(batch(12, removal('s1', 12)));
--- a/packages/membership/test/missing-removals.test.ts
+++ b/packages/membership/test/missing-removals.test.ts
@@ -155,7 +155,7 @@
   it('keeps the servers that are missing for a while if it does not reach the store, since they may have lapsed', async () => {
     const deployment = new Deployment('s1', 's2');
     const other = await deployment.start(never);
-    other.storeHealth.failed('renew', 'no answer');
+    other.storeHealth.failed('renew', 'no answer', deployment.clock.now());
     deployment.remove('s1');
     const started = await deployment.start(always);
     pull(other, started, true);
@@ -170,7 +170,7 @@
   it('drops them after that also if it receives the records again and again', async () => {
     const deployment = new Deployment('s1', 's2');
     const other = await deployment.start(never);
-    other.storeHealth.failed('renew', 'no answer');
+    other.storeHealth.failed('renew', 'no answer', deployment.clock.now());
     deployment.remove('s1');
     const started = await deployment.start(always);
     for (let elapsedMs = 0; elapsedMs < HELD_MS; elapsedMs += 500) {
--- a/packages/membership/test/odd-frames.test.ts
+++ b/packages/membership/test/odd-frames.test.ts
@@ -63,6 +63,7 @@
     logger,
     isStoreReachable: () => true,
     applyListing: ignore,
+    onStoreReturned: ignore,
     onLoadUpdate: ignore,
     onQuarantineUpdate: ignore,
     quarantinedCauses: () => [],
--- a/packages/membership/test/peers.test.ts
+++ b/packages/membership/test/peers.test.ts
@@ -106,6 +106,7 @@
     applyListing: (kind, listing) => {
       onListing(kind, listing);
     },
+    onStoreReturned: ignore,
     onLoadUpdate,
     onQuarantineUpdate: (update) => {
       quarantineUpdates.push(update);
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -383,6 +383,14 @@
     to: 'this.#fail(attempt, { failure: AttemptFailure.InDoubt, detail });\n    }',
     tests: 'silent-server',
   },
+  {
+    promise: 'nothing is sent to servers that have left',
+    mistake: 'what is held back after an outage is applied only when the store answers next',
+    file: 'packages/membership/src/follower.ts',
+    from: 'this.#cancelRelease = clock.after(Math.max(0, this.#guard.holdsUntilMs() - clock.now()), () => {',
+    to: 'this.#cancelRelease = clock.after(2_000 + this.#guard.holdsUntilMs() - clock.now(), () => {',
+    tests: 'store-return',
+  },
   {
     promise: 'nothing is sent to servers that have left',
     mistake: 'records without the removals are taken for complete',
