Quarantine: simultaneous crashes of one cause count by server when they repeat

Cause: crashes within 100 ms count as one. Five crashes were two, and a part needs three.

Change: after a first crash, each server of a further one counts if the cause, which was never served, was at all servers that failed within that time.

--- a/packages/quarantine/src/crash-evidence.ts
+++ b/packages/quarantine/src/crash-evidence.ts
@@ -15,6 +15,8 @@
   meetsThreshold,
   separateCrashes,
   shareAmongRequests,
+  type SharedByAll,
+  SIMULTANEOUS_MS,
   type Threshold,
   totalRunMs,
 } from './lost-attempt.js';
@@ -139,6 +141,23 @@
   const wasServed = ({ cause, losses }: Evidence): boolean =>
     losses.some(({ service }) => servedAtMs(service, cause) !== undefined);
 
+  /**
+   * Returns how to tell whether a cause was at all servers that failed together. A cause that was served before may be at many
+   * servers, so that it says nothing of why they failed.
+   */
+  const sharedByAllOf = (evidence: Evidence): SharedByAll | undefined => {
+    if (wasServed(evidence)) {
+      return undefined;
+    }
+    const servers = new Set(evidence.losses.map(({ server }) => server));
+    return ({ atMs }) =>
+      [...lostAtMs.entries()].every(
+        ([server, otherAtMs]) => servers.has(server) || Math.abs(otherAtMs - atMs) >= SIMULTANEOUS_MS,
+      );
+  };
+
+  const crashesOf = (evidence: Evidence): Loss[] => separateCrashes(evidence.losses, sharedByAllOf(evidence));
+
   const isExplained = ({ server, atMs }: Pick<Loss, 'server' | 'atMs'>): boolean =>
     Math.abs((explained.get(server) ?? Number.NEGATIVE_INFINITY) - atMs) < SAME_CRASH_MS;
 
@@ -146,7 +165,7 @@
     const { cause, losses } = evidence;
     const unknown = wasServed(evidence) ? SERVED_THRESHOLDS : UNSERVED_THRESHOLDS;
     const isNear = known.has(keyOf(cause)) || rivals.has(keyOf(cause));
-    return meetsThreshold(losses, isNear ? KNOWN_THRESHOLD : unknown[cause.kind]);
+    return meetsThreshold(losses, isNear ? KNOWN_THRESHOLD : unknown[cause.kind], sharedByAllOf(evidence));
   };
 
   /**
@@ -156,7 +175,7 @@
   const compareCulprits = (left: Evidence, right: Evidence): number => {
     const servedOrder = Number(wasServed(left)) - Number(wasServed(right));
     const position = (right.losses[0]?.position ?? 0) - (left.losses[0]?.position ?? 0);
-    const crashOrder = separateCrashes(right.losses).length - separateCrashes(left.losses).length;
+    const crashOrder = crashesOf(right).length - crashesOf(left).length;
     const runOrder = totalRunMs(left.losses) - totalRunMs(right.losses);
     return servedOrder || position || crashOrder || runOrder;
   };
@@ -174,9 +193,7 @@
     }
     const [isRequestServed, isPartServed] = [wasServed(request), wasServed(part)];
     const isPart =
-      isRequestServed === isPartServed
-        ? separateCrashes(part.losses).length > separateCrashes(request.losses).length
-        : isRequestServed;
+      isRequestServed === isPartServed ? crashesOf(part).length > crashesOf(request).length : isRequestServed;
     return isPart ? part : request;
   };
 
@@ -266,12 +283,12 @@
       if (culprit === undefined || newest === undefined) {
         return undefined;
       }
-      const crashes = separateCrashes(culprit.losses);
+      const crashes = crashesOf(culprit);
       return {
         service: newest.service,
         cause: culprit.cause,
         crashes: crashes.length,
-        requests: shareAmongRequests(culprit.losses).requests,
+        requests: shareAmongRequests(culprit.losses, sharedByAllOf(culprit)).requests,
         wasServed: wasServed(culprit),
         evidence: crashes.map(({ server, request }) => `${server} ${request}`),
       };
--- a/packages/quarantine/src/lost-attempt.ts
+++ b/packages/quarantine/src/lost-attempt.ts
@@ -38,8 +38,8 @@
   readonly requests: number;
 }
 
-/** Crashes within this time count as one, in milliseconds: servers that fail together have a common cause of their own. */
-const SIMULTANEOUS_MS = 100;
+/** Crashes within this time count as one, in milliseconds: servers that fail together may have a common cause of their own. */
+export const SIMULTANEOUS_MS = 100;
 /** Time between the last sign of an attempt and the notice of its loss that shows a silent connection, in milliseconds. */
 const SILENT_MS = 400;
 
@@ -59,14 +59,24 @@
   ];
 }
 
+/** Returns whether the cause of a loss was at all servers that failed together with that of the loss. */
+export type SharedByAll = (loss: Loss) => boolean;
+
+const sharedByNone: SharedByAll = () => false;
+
 /**
  * Groups losses by crash. Crashes are separate if they ended different servers, and apart in time or one after the other,
- * which an attempt shows that was sent after the crash before.
+ * which an attempt shows that was sent after the crash before. After a first crash, those at the same time are separate
+ * too if the cause was at all servers that failed then: it was at the servers of the crash before as well.
+ *
+ * Load pattern: several requests with one part arrive at a time, each at a server of its own; each crashes its server, and is repeated at
+ * the next one.
  *
  * @param losses - the losses of one cause, oldest first
+ * @param isSharedByAll - whether the cause was at all servers that failed together
  * @returns the losses of each crash, oldest first
  */
-export function groupByCrash(losses: readonly Loss[]): Loss[][] {
+export function groupByCrash(losses: readonly Loss[], isSharedByAll = sharedByNone): Loss[][] {
   const crashOf = new Map<string, Loss[]>();
   const crashes: Loss[][] = [];
   let lastAtMs = Number.NEGATIVE_INFINITY;
@@ -75,7 +85,9 @@
     const isSilent = loss.noticedAtMs - loss.atMs >= SILENT_MS;
     const isSeparate = isSilent
       ? loss.noticedAtMs - lastNoticedAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastNoticedAtMs
-      : loss.atMs - lastAtMs >= SIMULTANEOUS_MS || loss.sentAtMs >= lastAtMs;
+      : loss.atMs - lastAtMs >= SIMULTANEOUS_MS ||
+        loss.sentAtMs >= lastAtMs ||
+        (crashes.length > 1 && isSharedByAll(loss));
     const sameServer = crashOf.get(loss.server);
     const latest = crashes.at(-1);
     if (sameServer !== undefined) {
@@ -98,10 +110,11 @@
  * Selects the losses that stand for separate crashes.
  *
  * @param losses - the losses of one cause, oldest first
+ * @param isSharedByAll - whether the cause was at all servers that failed together
  * @returns the first loss of each crash
  */
-export function separateCrashes(losses: readonly Loss[]): Loss[] {
-  return groupByCrash(losses).flatMap(([first]) => (first === undefined ? [] : [first]));
+export function separateCrashes(losses: readonly Loss[], isSharedByAll = sharedByNone): Loss[] {
+  return groupByCrash(losses, isSharedByAll).flatMap(([first]) => (first === undefined ? [] : [first]));
 }
 
 /**
@@ -129,10 +142,11 @@
  * Determines how requests share the crashes of one cause.
  *
  * @param losses - the losses, oldest first
+ * @param isSharedByAll - whether the cause was at all servers that failed together
  * @returns the shares
  */
-export function shareAmongRequests(losses: readonly Loss[]): RequestShares {
-  let left = groupByCrash(losses).map((crash) => new Set(crash.map(({ digest }) => digest)));
+export function shareAmongRequests(losses: readonly Loss[], isSharedByAll = sharedByNone): RequestShares {
+  let left = groupByCrash(losses, isSharedByAll).map((crash) => new Set(crash.map(({ digest }) => digest)));
   const crashes = left.length;
   let requests = 0;
   let byOne = 0;
@@ -159,17 +173,24 @@
  *
  * @param losses - the losses of one cause, oldest first
  * @param threshold - the numbers that are required
+ * @param isSharedByAll - whether the cause was at all servers that failed together
  * @returns whether both numbers are reached
  */
-export function meetsThreshold(losses: readonly Loss[], threshold: Threshold): boolean {
+export function meetsThreshold(
+  losses: readonly Loss[],
+  threshold: Threshold,
+  isSharedByAll = sharedByNone,
+): boolean {
   if (losses.length < threshold.crashes) {
     return false;
   }
-  const { crashes, byOne, requests } = shareAmongRequests(losses);
+  const { crashes, byOne, requests } = shareAmongRequests(losses, isSharedByAll);
   if (crashes < threshold.crashes || requests < threshold.requests) {
     return false;
   }
-  const open = groupByCrash(losses).filter((crash) => !crash.some(({ isAttributed }) => isAttributed));
+  const open = groupByCrash(losses, isSharedByAll).filter(
+    (crash) => !crash.some(({ isAttributed }) => isAttributed),
+  );
   const isOfOne = threshold.requests > 1 && byOne >= threshold.crashes;
   const byOthers = isOfOne ? Math.min(open.length, crashes - byOne) : open.length;
   return byOthers >= Math.min(threshold.crashes, MIN_CRASHES_BY_OTHERS);
