--- a/packages/registry/src/registry-transfer.ts
+++ b/packages/registry/src/registry-transfer.ts
@@ -1,5 +1,5 @@
 /**
- * What one node sends another one whose records of some kinds are older: the changes since its positions, or, where that would lack
+ * What a node sends another node whose records of some kinds are older: the changes since its positions, or, where that would lack
  * removals, all records.
  *
  * Guards against a node that takes records for complete although removals are missing among them: it would never ask for these
