Forwarding: events of an answer renew its memory where engines list no reservations

What callers would see: a long prompt on several engines that streams its answer is interrupted 3 s after the engines of its parts stop listing their reservations, or list them more than 0.7 s late.

Cause: only the list of an engine counted as a sign that the request runs; an event of the answer shows it too.

Change: where an engine does not list its reservations, the memory counts as used as of the last event, so that the lease ends 3 s after it, within the 4 s allowed. All input that has arrived is read before the decision, and events that have waited unread for a slow caller are no sign.

--- a/packages/forwarding/src/part-reservation.ts
+++ b/packages/forwarding/src/part-reservation.ts
@@ -6,6 +6,7 @@
 import { type Result } from 'neverthrow';
 import { type EngineMemory, type MemoryError, MemoryOrder, OrderFailure } from './memory.js';
 import { type ForwardingMetrics } from './metrics.js';
+import { readPendingInput } from './pending-input.js';
 import {
   afterCheck,
   afterRelease,
@@ -23,6 +24,7 @@
   type ReservationTimes,
   ReleaseDecision,
   createReservationState,
+  withLastEvent,
 } from './renewal.js';
 
 /** Why memory is released. */
@@ -110,6 +112,11 @@
     this.#scheduleCheck(this.#times.checkIntervalMs, onIdle);
   }
 
+  /** Records that an event of the answer has arrived now, which shows that the request runs. */
+  recordEvent(): void {
+    this.#state = { ...this.#state, lastEventAtMs: this.#context.clock.now() };
+  }
+
   /**
    * Releases the memory, and checks the engine for as long as a late order may reserve it again.
    *
@@ -151,12 +158,16 @@
     const use = await this.#readUse();
     const mayBeQueued = use === MemoryUse.Idle && !this.#state.wasUsed;
     const isServerAlive = mayBeQueued && (await this.#context.memory.list(this.#owner.server)).isOk();
+    if (use === MemoryUse.Unknown) {
+      // The end of the answer may have arrived too, and is read after its last event.
+      await readPendingInput(this.#context.clock);
+    }
     if (this.#isReleased) {
       return;
     }
-    this.#state = afterCheck(this.#state, use);
+    const check = withLastEvent(this.#state, { use, isServerAlive, askedAtMs });
+    this.#state = afterCheck(this.#state, check.use);
     const nowMs = this.#context.clock.now();
-    const check = { use, isServerAlive, askedAtMs };
     switch (decideRenewal(this.#state, check, this.#times, nowMs)) {
       case RenewalDecision.Renew:
         this.#scheduleCheck(nextCheckMs(check, this.#times, nowMs), onIdle);
--- a/packages/forwarding/src/renewal.ts
+++ b/packages/forwarding/src/renewal.ts
@@ -94,6 +94,8 @@
   readonly expiresAtMs: number;
   /** The latest time at which the engine may execute an order that it did not answer, in milliseconds. */
   readonly inDoubtUntilMs: number;
+  /** When an event of the answer last showed that the request runs, in milliseconds. */
+  readonly lastEventAtMs: number;
 }
 
 /**
@@ -103,7 +105,14 @@
  * @returns the initial state
  */
 export function createReservationState(nowMs: number): ReservationState {
-  return { requestedAtMs: nowMs, wasUsed: false, idleChecks: 0, expiresAtMs: 0, inDoubtUntilMs: 0 };
+  return {
+    requestedAtMs: nowMs,
+    wasUsed: false,
+    idleChecks: 0,
+    expiresAtMs: 0,
+    inDoubtUntilMs: 0,
+    lastEventAtMs: Number.NEGATIVE_INFINITY,
+  };
 }
 
 /** Limits on the time for which memory may be reserved without being used, in milliseconds. */
@@ -194,6 +203,20 @@
   return isFree ? { ...state, expiresAtMs: 0 } : state;
 }
 
+/**
+ * Returns what a check shows together with the events of the answer. An engine that does not list its reservations says nothing
+ * of their use; an event shows that the request ran when it arrived.
+ *
+ * @param state - the state before the check
+ * @param check - the result of the check
+ * @returns the check; as of the last event if only that shows the use
+ */
+export function withLastEvent(state: ReservationState, check: ReservationCheck): ReservationCheck {
+  return check.use === MemoryUse.Unknown && Number.isFinite(state.lastEventAtMs)
+    ? { ...check, use: MemoryUse.Used, askedAtMs: state.lastEventAtMs }
+    : check;
+}
+
 /**
  * Applies the result of a check of an active reservation.
  *
--- a/packages/forwarding/src/reservation.ts
+++ b/packages/forwarding/src/reservation.ts
@@ -11,6 +11,8 @@
 
 /** The memory that is reserved for one attempt. */
 export interface Reservation {
+  /** Records that an event of the answer has arrived now, soon after its server sent it. */
+  recordEvent(): void;
   /**
    * Releases the memory at all engines; further calls have no effect.
    *
@@ -43,6 +45,12 @@
     });
   }
 
+  recordEvent(): void {
+    this.#parts.forEach((part) => {
+      part.recordEvent();
+    });
+  }
+
   release(cause: ReleaseCause, sinceLastEventMs?: number): void {
     if (this.#isReleased) {
       return;
--- a/packages/forwarding/src/running-attempt.ts
+++ b/packages/forwarding/src/running-attempt.ts
@@ -90,6 +90,8 @@
   const { clock } = context;
   const dispatchedAtMs = clock.now();
   let lastEventAtMs = dispatchedAtMs;
+  /** Whether events may have waited unread at this process, so that their arrival does not show when they were sent. */
+  let wasPaused = false;
   let isEnded = false;
   const free = (): void => {
     reservation.reserved.release(ReleaseCause.Ended, clock.now() - lastEventAtMs);
@@ -126,15 +128,19 @@
     lastEventAtMs: () => lastEventAtMs,
     isPaused: attempt.isPaused,
     consumed: (piece) => {
-      const wasPaused = attempt.isPaused();
+      const isPaused = attempt.isPaused();
       attempt.consumed(piece);
-      if (wasPaused) {
+      if (isPaused) {
+        wasPaused = true;
         lastEventAtMs = clock.now();
       }
     },
     recordEvent: () => {
       lastEventAtMs = clock.now();
       running.isMemoryIdle = false;
+      if (!wasPaused && !attempt.isPaused()) {
+        reservation.reserved.recordEvent();
+      }
     },
     end: () => {
       if (!isEnded) {
--- a/packages/forwarding/test/idle-memory.test.ts
+++ b/packages/forwarding/test/idle-memory.test.ts
@@ -1,12 +1,12 @@
 /** A stream whose memory the engines list as unused for a time, as they do for a request that they have preempted. */
 import assert from 'node:assert/strict';
-import { type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { MemoryOrder } from '@toucanbend/forwarding';
 import { type Catalogue } from '@toucanbend/registry';
 import { RestrictionUpdateKind } from '@toucanbend/restrictions';
 import { smallEngine } from '../../../fakes/engine-parameters.js';
-import { TestEngines } from './support/engines.js';
+import { bounds, TestEngines } from './support/engines.js';
 import { catalogue, paths, startTestGateway, type TestGateway } from './support/gateway.js';
 import {
   answerTo,
@@ -38,6 +38,9 @@
   services: [{ name: 'vanes', maxConnections: 10, engine: smallEngine }],
 };
 
+/** Turns of the event loop without progress after which a connection is taken to be blocked. */
+const QUIET_TURNS = 500;
+
 const event = (id: number): string => `id: ${String(id)}\ndata: token ${String(id)}\n\n`;
 const rejectsNotRun: Script = (socket, request) =>
   socket.end(answerTo(request, 'full', { status: 503, headers: ['not-run: 1'] }));
@@ -48,6 +51,18 @@
   }
 }
 
+/** Waits until a number is not 0 and no longer changes. */
+async function untilSteady(read: () => number): Promise<void> {
+  let last = 0;
+  for (let quietTurns = 0; quietTurns < QUIET_TURNS || last === 0; quietTurns += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+    if (read() !== last) {
+      last = read();
+      quietTurns = 0;
+    }
+  }
+}
+
 interface IdleStream {
   readonly memory: TestEngines;
   readonly gateway: TestGateway;
@@ -167,4 +182,53 @@
       assert.equal((await result).isComplete, true);
     },
   );
+
+  it('has it freed in time if the last events have waited at the entry for a slow caller', async () => {
+    const eventCount = 512;
+    const filler = 'v'.repeat(16_384);
+    const all = Array.from({ length: eventCount }, (_, index) =>
+      event(index + 1).replace('token', filler),
+    ).join('');
+    let first: Socket | undefined;
+    const sendsAllButTheEnd: Script = (socket, request) => {
+      first = socket;
+      socket.write(answerTo(request, all).slice(0, -event(eventCount).length));
+    };
+    const script = firstThen(sendsAllButTheEnd, rejectsNotRun);
+    const servers = await Promise.all(
+      Array.from({ length: ENGINE_COUNT }, () => startScriptedServer(script)),
+    );
+    const memory = new TestEngines();
+    const gateway = await startTestGateway(
+      servers.map(({ port }) => port),
+      { initialCatalogue: engines, clock: memory.clock, memory },
+    );
+    const caller = connect(gateway.port, '127.0.0.1');
+    open.push(gateway, ...servers, { close: () => caller.destroy() });
+    const lines = [
+      `POST ${paths.stream} HTTP/1.1`,
+      'host: vanes.example',
+      'key: key-1',
+      'request-id: r1',
+      `prompt-tokens: ${String(PROMPT_TOKENS)}`,
+      `answer-tokens: ${String(4 * eventCount)}`,
+      `timeout: ${String(DEADLINE_MS)}`,
+      'content-length: 0',
+    ];
+    caller.write([...lines, '', ''].join('\r\n'));
+    const sentBytes = (): number => (first === undefined ? 0 : first.bytesWritten - first.writableLength);
+    let receivedBytes = 0;
+    await untilSteady(sentBytes);
+    memory.use('r1-1', false);
+    for (let index = 0; index < ENGINE_COUNT; index += 1) {
+      memory.stopAnswering(`s${String(index)}`);
+    }
+    const endAtMs = memory.clock.now();
+    await memory.advance(2_500);
+    caller.on('data', (chunk: Buffer) => (receivedBytes += chunk.length));
+    await untilSteady(() => receivedBytes);
+    assert.ok(receivedBytes > (eventCount - 1) * filler.length, `${String(receivedBytes)} bytes received`);
+    await memory.advance(DEADLINE_MS);
+    assert.equal(memory.longestHoldAfter('r1-1', endAtMs + bounds.maxReleaseDelayMs), 0);
+  });
 });
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -63,6 +63,50 @@
     });
   }
 
+  it('is freed in time after the last event if no engine lists its reservations', async () => {
+    const eventIntervalMs = 200;
+    for (let endMs = 800; endMs < 7_000; endMs += 200) {
+      const { engines, reservation } = await reserveInUse();
+      engines.stopAnswering('e1');
+      engines.stopAnswering('e2');
+      for (let passedMs = 0; passedMs < endMs; passedMs += eventIntervalMs) {
+        await engines.advance(eventIntervalMs);
+        reservation.recordEvent();
+      }
+      assert.equal(engines.heldNow(RESERVATION), true, `lost before ${String(endMs)}`);
+      engines.use(RESERVATION, false);
+      await engines.advance(15_000);
+      assert.equal(engines.longestHoldAfter(RESERVATION, endMs + RETURN_MS), 0, `ended at ${String(endMs)}`);
+    }
+  });
+
+  it('is freed in time if the engines list it as unused after the last event', async () => {
+    const { engines, reservation } = await reserveInUse();
+    await engines.advance(2_500);
+    reservation.recordEvent();
+    engines.use(RESERVATION, false);
+    await engines.advance(15_000);
+    assert.equal(engines.longestHoldAfter(RESERVATION, 2_500 + RETURN_MS), 0);
+    assert.equal(engines.idleCount, 1);
+  });
+
+  it('is not renewed for an event if the end of the answer has arrived after it', async () => {
+    const { engines, reservation } = await reserveInUse();
+    const checkMs = reservationTimes(bounds).checkIntervalMs;
+    engines.stopAnswering('e1');
+    engines.stopAnswering('e2');
+    await engines.advance(checkMs - 50);
+    reservation.recordEvent();
+    engines.clock.advance(50);
+    // Read in the next turn of the event loop.
+    setImmediate(() => {
+      reservation.release(ReleaseCause.Ended);
+    });
+    await engines.advance(15_000);
+    assert.equal(engines.count('e1', MemoryOrder.Reserve), 1);
+    assert.equal(engines.heldNow(RESERVATION), false);
+  });
+
   it('is freed in time if no engine ever used it', async () => {
     const { engines } = await reserveInUse();
     engines.use(RESERVATION, false);
--- a/packages/forwarding/test/support/engines.ts
+++ b/packages/forwarding/test/support/engines.ts
@@ -105,6 +105,10 @@
     this.#snapshots.push({ atMs: nowMs, held });
   }
 
+  holds(name: string): boolean {
+    return this.#expiries.has(name);
+  }
+
   list(): EngineSnapshot['held'] {
     return this.#snapshots.findLast((sight) => sight.atMs <= this.#clock.now() - LIST_DELAY_MS)?.held ?? [];
   }
@@ -201,6 +205,11 @@
     }
   }
 
+  /** Returns whether all engines hold a reservation now. */
+  heldNow(name: string): boolean {
+    return [...this.#engines.values()].every((engine) => engine.holds(name));
+  }
+
   /** Returns the longest uninterrupted time that an engine held a reservation after `afterMs`, in milliseconds. */
   longestHoldAfter(name: string, afterMs: number): number {
     let longestMs = 0;
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -34,6 +34,22 @@
     to2: 'return { table, value: SubmitVerdict.Run };',
     tests: 'once.test',
   },
+  {
+    promise: 'memory at engines is free in time after its request has ended',
+    mistake: 'events that have waited unread at the entry renew memory',
+    file: 'packages/forwarding/src/running-attempt.ts',
+    from: 'if (!wasPaused && !attempt.isPaused()) {',
+    to: 'if (attempt.isSent()) {',
+    tests: 'idle-memory',
+  },
+  {
+    promise: 'memory at engines is free in time after its request has ended',
+    mistake: 'memory is renewed before the end of the answer, which has arrived, is read',
+    file: 'packages/forwarding/src/part-reservation.ts',
+    from: '      await readPendingInput(this.#context.clock);',
+    to: '      await Promise.resolve();',
+    tests: 'reservation-return',
+  },
   {
     promise: '"not run" is reported only if nothing ran',
     mistake: 'an attempt in doubt is reported as not run',
