Observability: answers at the operators' port leave turns of the event loop to callers

What callers saw: beside 40 clients that send GET /metrics ahead, an ordinary call took 185 to 262 ms and was rejected as overloaded three times; the fourth attempt was served.

Cause: each connection may have 8 requests read ahead, and the port answered all of them in one turn of the event loop, 320 metrics pages. Callers wait meanwhile, and the delay of the input exceeds what their requests may wait.

Change: answers are made one after the other, each in a turn of its own (answer-queue.ts).

--- a/packages/observability/src/operator-port.ts
+++ b/packages/observability/src/operator-port.ts
@@ -1,5 +1,6 @@
 /** The HTTP port for operators: metrics, health, readiness, status, and explanations of requests. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createAnswerQueue } from './answer-queue.js';
 import { type Logger } from './logger.js';
 import { type Metrics } from './metrics.js';
 
@@ -66,13 +67,19 @@
  * @returns a promise of the server, resolved once it is listening and rejected if it cannot listen
  */
 export function openOperatorPort(options: OperatorPortOptions): Promise<Server> {
-  const server = createServer((request, response) => {
-    if (options.administer?.(request, response) !== true) {
+  const answers = createAnswerQueue();
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
+    if (!response.destroyed && options.administer?.(request, response) !== true) {
       answer(request.url ?? '/', options, response).catch((error: unknown) => {
         options.logger.error('operator request failed', { path: request.url ?? '/', error: String(error) });
         response.destroy();
       });
     }
+  };
+  const server = createServer((request, response) => {
+    answers.add(() => {
+      handle(request, response);
+    });
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/packages/observability/test/operator-port.test.ts
+++ b/packages/observability/test/operator-port.test.ts
@@ -1,7 +1,7 @@
 /** Requests at the operator port that must not end the process. */
 import assert from 'node:assert/strict';
 import { type Server } from 'node:http';
-import { type AddressInfo } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import { afterEach, it } from 'node:test';
 import { openOperatorPort, type OperatorPortOptions } from '@toucanbend/observability';
 import { silentLogger } from '../../../fakes/silent-logger.js';
@@ -42,3 +42,29 @@
   await assert.rejects(fetch(`${address}/metrics`));
   assert.equal((await fetch(`${address}/health`)).status, 200);
 });
+
+it('answers to requests that come at once leave turns of the event loop to other work between them', async () => {
+  let turn = 0;
+  let isOpen = true;
+  const countTurns = (): void => {
+    turn += 1;
+    if (isOpen) {
+      setImmediate(countTurns);
+    }
+  };
+  const answeredIn: number[] = [];
+  const text = (): Promise<string> => {
+    answeredIn.push(turn);
+    return Promise.resolve('metrics');
+  };
+  const address = new URL(await start({ metrics: { text } }));
+  const clients = Array.from({ length: 5 }, () => connect(Number(address.port), '127.0.0.1'));
+  countTurns();
+  clients.forEach((client) => client.write('GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n'.repeat(8)));
+  while (answeredIn.length < 40) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  isOpen = false;
+  clients.forEach((client) => client.destroy());
+  assert.equal(new Set(answeredIn).size, 40);
+});
