--- a/packages/service/src/http-service.ts
+++ b/packages/service/src/http-service.ts
@@ -15,14 +15,23 @@
 /** Lowest status of an answer; Node's parser accepts lower ones. */
 const MIN_FINAL_STATUS = 200;
 
-/** Returns why a response that has ended is not the whole answer to the call; undefined if it is. */
-function faultOf(response: IncomingMessage, isReset: boolean): string | undefined {
+/**
+ * Returns why a response that has ended is not the whole answer to the call.
+ *
+ * @param response - the response
+ * @param bodyBytes - length of the body that was received, in bytes
+ * @param isReset - whether the service reset the connection
+ * @returns the reason; undefined if the response is the whole answer
+ */
+function faultOf(response: IncomingMessage, bodyBytes: number, isReset: boolean): string | undefined {
   const { statusCode: status = 0, headers, complete } = response;
   const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
   if (status < MIN_FINAL_STATUS) {
     return `the response has the invalid status ${String(status)}`;
   }
-  return complete && (isFramed || !isReset) ? undefined : 'the response is incomplete: connection reset';
+  return complete && (isFramed || !isReset)
+    ? undefined
+    : `the response is incomplete: connection reset after ${String(bodyBytes)} bytes of the body`;
 }
 
 /**
@@ -64,7 +73,7 @@
           resolve(err({ kind: ServiceErrorKind.ResponseLost, message: error.message }));
         });
         response.on('end', () => {
-          const fault = faultOf(response, isReset());
+          const fault = faultOf(response, received.length(), isReset());
           if (fault !== undefined) {
             resolve(err({ kind: ServiceErrorKind.ResponseLost, message: fault }));
             return;
