--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -73,7 +73,7 @@
         await engines.advance(eventIntervalMs);
         reservation.recordEvent();
       }
-      assert.equal(engines.heldNow(RESERVATION), true, `lost before ${String(endMs)}`);
+      assert.equal(engines.isHeld(RESERVATION), true, `lost before ${String(endMs)}`);
       engines.use(RESERVATION, false);
       await engines.advance(15_000);
       assert.equal(engines.longestHoldAfter(RESERVATION, endMs + RETURN_MS), 0, `ended at ${String(endMs)}`);
@@ -104,7 +104,7 @@
     });
     await engines.advance(15_000);
     assert.equal(engines.count('e1', MemoryOrder.Reserve), 1);
-    assert.equal(engines.heldNow(RESERVATION), false);
+    assert.equal(engines.isHeld(RESERVATION), false);
   });
 
   it('is freed in time if no engine ever used it', async () => {
--- a/packages/forwarding/test/support/engines.ts
+++ b/packages/forwarding/test/support/engines.ts
@@ -206,7 +206,7 @@
   }
 
   /** Returns whether all engines hold a reservation now. */
-  heldNow(name: string): boolean {
+  isHeld(name: string): boolean {
     return [...this.#engines.values()].every((engine) => engine.holds(name));
   }
 
