config check: entries without effect, contradictions, and what differs from the version in force

`toucanbend config check FILE` reports, besides what is invalid, what is valid but not what its author can have meant: a key of two accounts or operators, an account without a key, a rank that is not declared, a target beyond the deadline, floors that leave nothing to a rank, models, services and data centres without servers, calls that no request matches, shared addresses, hosts in two data centres; each with its place and figures. Exit status 0, 1 for findings, 2 for what cannot be read.

The check uses the functions by which entries match requests: accounts by key, operators by key, limits of ranks and calls that must not be repeated moved from entry and administration to configuration/matching.ts.

The findings are on standard output now.

--- a/packages/administration/src/administration.ts
+++ b/packages/administration/src/administration.ts
@@ -4,6 +4,7 @@
 import {
   type ConfigurationDocument,
   type ConfigurationHolder,
+  operatorOfKeyHash,
   parseDeclaration,
   printDocument,
 } from '@toucanbend/configuration';
@@ -60,7 +61,7 @@
   authorization: string | undefined,
 ): Result<AuthenticatedOperator, Rejection> {
   const hash = hashKey(bearerKey(authorization) ?? '');
-  const known = document.operators.find((operator) => operator.keyHashes.includes(hash));
+  const known = operatorOfKeyHash(document.operators, hash);
   return known === undefined
     ? err({
         status: 401,
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -12,11 +12,16 @@
 } from '@toucanbend/operator';
 import { HttpKeyValueStore } from '@toucanbend/store';
 import { Command } from 'commander';
-import { ExitCode, requireSettings, runRole } from './run.js';
+import { Result } from 'neverthrow';
+import { checkText, exitCodeOf, formatReport } from './configuration-check.js';
+import { ExitCode } from './exit-code.js';
+import { requireSettings, runRole } from './run.js';
 
 const VERSION = '0.1.0';
 const STORE_TIMEOUT_MS = 2_000;
 const STORE_ATTEMPTS = 5;
+const CHECK_EXIT_CODES =
+  '\nExit status: 0 without findings, 1 with findings, 2 if the file or the store cannot be read.';
 
 function exitWithFindings(findings: readonly Finding[]): never {
   process.stderr.write(`${formatFindings(findings)}\n`);
@@ -73,12 +78,25 @@
   process.exit(ExitCode.Success);
 }
 
-function checkConfiguration(file: string): void {
-  const declaration = parseDeclaration(readFileSync(file, 'utf8'), file);
-  if (declaration.isErr()) {
-    exitWithFindings(declaration.error);
-  }
-  process.stdout.write(`${file}: no findings\n`);
+interface CheckOptions {
+  readonly store?: string;
+  readonly json?: true;
+}
+
+/** Checks a configuration file, and compares it with the version in force if the address of the store is given. */
+async function checkConfiguration(file: string, { store, json }: CheckOptions): Promise<void> {
+  const text = Result.fromThrowable(readFileSync, (error) => ({ place: file, message: String(error) }))(
+    file,
+    'utf8',
+  );
+  const inForce = store === undefined ? undefined : await openOperator(store).read();
+  const report = checkText(
+    text.map(String),
+    file,
+    inForce?.mapErr(({ findings }) => findings),
+  );
+  process.stdout.write(json === true ? `${JSON.stringify(report)}\n` : formatReport(report, file));
+  process.exit(exitCodeOf(report));
 }
 
 function addConfigurationCommands(program: Command): void {
@@ -92,7 +110,12 @@
     .action(({ store }: { store: string }) => printConfiguration(store));
   config
     .command('check <file>')
-    .description('check a configuration file and report all findings')
+    .description(
+      'check a configuration file: report all findings, and what differs from the version in force',
+    )
+    .option('--store <address>', 'IP:PORT of the key-value store that holds the version in force')
+    .option('--json', 'print one JSON object')
+    .addHelpText('after', CHECK_EXIT_CODES)
     .action(checkConfiguration);
   config
     .command('apply <file>')
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -3,16 +3,7 @@
 import { startEntry } from '@toucanbend/entry';
 import { readSettings, type Settings } from '@toucanbend/settings';
 import { startSide } from '@toucanbend/side';
-
-/** Exit codes of the program. */
-export enum ExitCode {
-  Success = 0,
-  Failure = 1,
-  /** The command line or a settings file is invalid. */
-  Usage = 2,
-  /** A second signal ended the process while requests were in flight. */
-  Interrupted = 130,
-}
+import { ExitCode } from './exit-code.js';
 
 interface RunningRole {
   leave(): Promise<void>;
--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -103,6 +103,8 @@
 /** A plain service: a backend that serves HTTP calls and no model. */
 export type ServiceConfiguration = ConfigurationDocument['services'][number];
 export type ServerConfiguration = ConfigurationDocument['servers'][number];
+/** An operator, who may read or change the document through an entry. */
+export type OperatorConfiguration = ConfigurationDocument['operators'][number];
 /** An accepted change, as the history records it. */
 export type HistoryEntry = ConfigurationDocument['history'][number];
 
--- a/packages/configuration/src/print.ts
+++ b/packages/configuration/src/print.ts
@@ -1,6 +1,6 @@
 /** Printing the configuration as TOML, and parsing that TOML to apply it again. */
 import { type Finding } from '@toucanbend/core';
-import { err, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { parse, stringify, TomlError } from 'smol-toml';
 import { type Declaration, declarationOf } from './change.js';
 import { checkDocument, type ConfigurationDocument, namedSections, type SectionName } from './document.js';
@@ -57,25 +57,53 @@
 }
 
 /**
- * Parses a configuration in the form that {@link printDocument} prints.
+ * Reads TOML.
  *
  * @param text - TOML
- * @param source - where the text was read from, such as a file name; the place of each finding starts with it
- * @returns the declaration, or all findings
+ * @param source - where the text was read from, such as a file name; the place of the finding starts with it
+ * @returns the value, or where and why it cannot be read
  */
-export function parseDeclaration(text: string, source: string): Result<ParsedDeclaration, Finding[]> {
-  let value: Record<string, unknown>;
+export function readToml(text: string, source: string): Result<Record<string, unknown>, Finding> {
   try {
-    value = parse(text);
+    return ok(parse(text));
   } catch (error) {
     const place =
       error instanceof TomlError ? `${source}:${String(error.line)}:${String(error.column)}` : source;
-    return err([
-      { place, message: error instanceof Error ? (error.message.split('\n')[0] ?? '') : String(error) },
-    ]);
+    return err({
+      place,
+      message: error instanceof Error ? (error.message.split('\n')[0] ?? '') : String(error),
+    });
   }
-  return checkDocument({ revision: 0, ...value }, source).map((document) => ({
-    declaration: declarationOf(document),
-    basedOn: value['revision'] === undefined ? undefined : document.revision,
-  }));
+}
+
+/**
+ * Checks a declaration that was read.
+ *
+ * @param value - the value
+ * @param source - where it was read from
+ * @returns the document that it declares, at revision 0 unless it names another one; or all findings
+ */
+export function checkDeclaration(
+  value: Readonly<Record<string, unknown>>,
+  source: string,
+): Result<ConfigurationDocument, Finding[]> {
+  return checkDocument({ revision: 0, ...value }, source);
+}
+
+/**
+ * Parses a configuration in the form that {@link printDocument} prints.
+ *
+ * @param text - TOML
+ * @param source - where the text was read from, such as a file name; the place of each finding starts with it
+ * @returns the declaration, or all findings
+ */
+export function parseDeclaration(text: string, source: string): Result<ParsedDeclaration, Finding[]> {
+  return readToml(text, source)
+    .mapErr((finding) => [finding])
+    .andThen((value) =>
+      checkDeclaration(value, source).map((document) => ({
+        declaration: declarationOf(document),
+        basedOn: value['revision'] === undefined ? undefined : document.revision,
+      })),
+    );
 }
--- a/packages/entry/src/accounts.ts
+++ b/packages/entry/src/accounts.ts
@@ -1,6 +1,10 @@
 /** Authenticates callers by API key and limits the requests in flight of each client account. */
 import { bearerKey, hashKey } from '@toucanbend/core';
-import { type AccountConfiguration, type ConfigurationHolder } from '@toucanbend/configuration';
+import {
+  type AccountConfiguration,
+  accountsByKeyHash,
+  type ConfigurationHolder,
+} from '@toucanbend/configuration';
 import { err, ok, type Result } from 'neverthrow';
 
 /** Why a caller is denied access. */
@@ -33,13 +37,11 @@
  * @returns the account registry
  */
 export function createAccounts(holder: ConfigurationHolder): Accounts {
-  let byKeyHash = new Map<string, AccountConfiguration>();
+  let byKeyHash: ReadonlyMap<string, AccountConfiguration> = new Map();
   const inFlight = new Map<string, number>();
   const rebuild = (): void => {
     const { accounts } = holder.current();
-    byKeyHash = new Map(
-      accounts.flatMap((account) => account.keyHashes.map((hash) => [hash, account] as const)),
-    );
+    byKeyHash = accountsByKeyHash(accounts);
   };
   holder.onChange(rebuild);
   rebuild();
--- a/packages/entry/src/parse.ts
+++ b/packages/entry/src/parse.ts
@@ -1,6 +1,11 @@
 /** Validates and parses HTTP requests of callers. */
 import { type Finding, findingsOf, prefixHashes, Rank, RequestKind, estimateTokens } from '@toucanbend/core';
-import { type AccountConfiguration, type ConfigurationDocument } from '@toucanbend/configuration';
+import {
+  type AccountConfiguration,
+  type ConfigurationDocument,
+  isNonIdempotentCall,
+  rankLimits,
+} from '@toucanbend/configuration';
 import { type EntrySettings } from '@toucanbend/settings';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
@@ -31,8 +36,6 @@
 }
 
 const DEFAULT_MAX_TOKENS = 256;
-const DEFAULT_DEADLINE_MS = 60_000;
-const DEFAULT_FIRST_TOKEN_TARGET_MS = 10_000;
 /**
  * Prompts up to this length get the rank's first-token target; for longer ones it grows in proportion to
  * length.
@@ -72,17 +75,14 @@
   if (!rank.success) {
     return err([{ place: 'header x-rank', message: `must be one of ${Object.values(Rank).join(', ')}` }]);
   }
-  const configuration = document.ranks.find((item) => item.name === rank.data);
+  const limits = rankLimits(document.ranks, rank.data);
   const deadlineHeader = headerOf(message, 'x-deadline-ms');
-  const deadlineMs =
-    deadlineHeader === undefined
-      ? (configuration?.deadlineMs ?? DEFAULT_DEADLINE_MS)
-      : Number(deadlineHeader);
+  const deadlineMs = deadlineHeader === undefined ? limits.deadlineMs : Number(deadlineHeader);
   if (!Number.isFinite(deadlineMs) || deadlineMs <= 0) {
     return err([{ place: 'header x-deadline-ms', message: 'must be a positive number of milliseconds' }]);
   }
   const lengthFactor = Math.max(1, promptTokens / UNSCALED_TARGET_PROMPT_TOKENS);
-  const targetMs = (configuration?.firstTokenTargetMs ?? DEFAULT_FIRST_TOKEN_TARGET_MS) * lengthFactor;
+  const targetMs = limits.firstTokenTargetMs * lengthFactor;
   const { receivedAtMs } = message;
   const deadlineAtMs = receivedAtMs + deadlineMs;
   return ok({ rank: rank.data, receivedAtMs, deadlineAtMs, firstTokenLimitMs: targetMs });
@@ -187,8 +187,6 @@
     return err([{ place: 'header idempotency-key', message: 'must have 1 to 255 characters' }]);
   }
   const service = document.services.find((item) => item.name === target);
-  const plainPath = path.split('?')[0] ?? path;
-  const isNonIdempotent = service?.nonIdempotent.includes(`${message.method} ${plainPath}`) ?? true;
   return parseSchedulingParameters(message, document, 0).map((parameters) => ({
     ...parameters,
     requestId: message.requestId,
@@ -202,7 +200,7 @@
       path,
       contentType: headerOf(message, 'content-type') ?? 'application/octet-stream',
     },
-    isIdempotent: !isNonIdempotent,
+    isIdempotent: !isNonIdempotentCall(service, message.method, path),
     idempotencyKey,
   }));
 }
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -3,8 +3,14 @@
  * later reverted, when nodes or the store fail.
  */
 import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { after, before, beforeEach, describe, test } from 'node:test';
+import { type CheckReport, ExitCode } from '@toucanbend/cli';
 import {
   callJson,
   type Fleet,
@@ -111,6 +117,35 @@
     assert.equal(withoutRevision(await print(0)), withoutRevision(printed));
   });
 
+  test('a changed file is compared with the version in force before it is applied', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'toucanbend-check-'));
+    const file = join(folder, 'fleet.toml');
+    const check = async (text: string): Promise<{ status: number | null; report: CheckReport }> => {
+      writeFileSync(file, text);
+      const store = `127.0.0.1:${String(fleet.store.port)}`;
+      const program = ['dist/toucanbend.cjs', 'config', 'check', file, '--store', store, '--json'];
+      const child = spawn(process.execPath, program, { stdio: ['ignore', 'pipe', 'inherit'] });
+      const [output, [status]] = await Promise.all([
+        child.stdout.setEncoding('utf8').toArray(),
+        once(child, 'exit'),
+      ]);
+      return { status: status as number | null, report: JSON.parse(output.join('')) as CheckReport };
+    };
+    const printed = await print(0);
+    const same = await check(printed);
+    const changed = await check(withAccount(printed, 'thamel'));
+    rmSync(folder, { recursive: true });
+    assert.deepEqual(same.report.differences, []);
+    assert.equal(same.report.comparedWith, Number(/^revision = (\d+)$/m.exec(printed)?.[1]));
+    assert.deepEqual(
+      changed.report.differences.map(({ section, name }) => [section, name]),
+      [['accounts', 'thamel']],
+    );
+    assert.equal(changed.status, ExitCode.Failure);
+    assert.ok(changed.report.findings.some(({ message }) => message.includes('no request can use thamel')));
+    assert.equal(same.status, same.report.findings.length === 0 ? ExitCode.Success : ExitCode.Failure);
+  });
+
   test('an accepted change propagates when the store becomes unreachable right after acceptance', async () => {
     await callJson(fleet.store.port, '/fault', StoreFault.LoseAnswers);
     const revision = await addAccount(1, 'kirtipur');
