--- a/packages/cli/src/configuration-check.ts
+++ b/packages/cli/src/configuration-check.ts
@@ -10,6 +10,7 @@
   readToml,
 } from '@toucanbend/configuration';
 import { type Finding, formatFindings } from '@toucanbend/core';
+import { replaceDeclaration } from '@toucanbend/operator';
 import { type Result } from 'neverthrow';
 import { ExitCode } from './exit-code.js';
 
@@ -17,7 +18,7 @@
 export interface CheckReport {
   /** What could not be read: the file, or the version in force. */
   readonly unreadable: readonly Finding[];
-  /** What is invalid, contradicts itself or has no effect. */
+  /** What is invalid, contradicts itself, has no effect or would be refused when it is applied. */
   readonly findings: readonly Finding[];
   /** Revision in force, which the file was compared with; undefined if there was no comparison. */
   readonly comparedWith: number | undefined;
@@ -43,19 +44,27 @@
     ...(value.isErr() ? [value.error] : []),
     ...(inForce?.isErr() === true ? inForce.error : []),
   ];
-  const document = value.isOk() ? checkDeclaration(value.value, file) : undefined;
+  const checked = value.isOk() ? checkDeclaration(value.value, file) : undefined;
   const findings =
-    document?.match(
-      (valid) => findInconsistencies(valid, file),
+    checked?.match(
+      ({ document }) => findInconsistencies(document, file),
       (invalid) => invalid,
     ) ?? [];
-  const [after, before] = [document?.unwrapOr(undefined), inForce?.unwrapOr(undefined)];
-  const isCompared = after !== undefined && before !== undefined;
+  const [declared, before] = [checked?.unwrapOr(undefined), inForce?.unwrapOr(undefined)];
+  if (declared === undefined || before === undefined) {
+    return { unreadable, findings, comparedWith: undefined, differences: [] };
+  }
+  const refused = replaceDeclaration(declared)
+    .edit(before)
+    .match(
+      () => [],
+      (reasons) => reasons.map(({ place, message }) => ({ place: `${file}: ${place}`, message })),
+    );
   return {
     unreadable,
-    findings,
-    comparedWith: isCompared ? before.revision : undefined,
-    differences: isCompared ? changedItems(before, after) : [],
+    findings: [...refused, ...findings],
+    comparedWith: before.revision,
+    differences: changedItems(before, declared.document),
   };
 }
 
@@ -72,7 +81,7 @@
   return findings.length > 0 ? ExitCode.Failure : ExitCode.Success;
 }
 
-/** Hashes of keys are not secret, but too long to compare by eye; their number and beginnings are enough. */
+/** Longest value that is printed in full, in characters; lists of key hashes are longer. */
 const MAX_VALUE_LENGTH = 60;
 
 function formatValue(value: unknown): string {
@@ -113,7 +122,7 @@
   const summary =
     unreadable.length > 0
       ? `${file}: not checked completely`
-      : `${file}: ${findings.length === 0 ? 'no findings' : `${String(findings.length)} findings`}`;
+      : `${file}: ${findings.length === 0 ? 'no findings' : `${String(findings.length)} finding${findings.length === 1 ? '' : 's'}`}`;
   const problems = [...unreadable, ...findings];
   return `${[...(problems.length === 0 ? [] : [formatFindings(problems)]), ...compared, summary].join('\n')}\n`;
 }
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -1,5 +1,6 @@
-/** Exit codes of the program. */
+/** How the program ends. */
 
+/** Exit codes of the program. */
 export enum ExitCode {
   Success = 0,
   Failure = 1,
--- a/packages/cli/test/configuration-check.test.ts
+++ b/packages/cli/test/configuration-check.test.ts
@@ -50,7 +50,7 @@
 
 const check = (text: string): CheckReport => checkText(ok(text), FILE);
 const documentOf = (text: string, revision: number): ConfigurationDocument => ({
-  ...checkDeclaration(readToml(text, FILE)._unsafeUnwrap(), FILE)._unsafeUnwrap(),
+  ...checkDeclaration(readToml(text, FILE)._unsafeUnwrap(), FILE)._unsafeUnwrap().document,
   revision,
 });
 const placesOf = (text: string): string[] =>
@@ -147,7 +147,7 @@
   });
 
   it('lists what differs from the version in force, with both values', () => {
-    const changed = sound
+    const changed = `revision = 12\n${sound}`
       .replace('deadlineMs = 30000', 'deadlineMs = 20000')
       .replaceAll('engine-1', 'engine-2');
     const report = checkText(ok(changed), FILE, ok(documentOf(sound, 12)));
@@ -167,4 +167,12 @@
       /^differences from revision 12 in force\n {2}ranks: urgent changed: deadlineMs 30000 -> 20000\n/,
     );
   });
+
+  it('reports that a file is based on an older version than the one in force, which refuses it', () => {
+    const report = checkText(ok(`revision = 11\n${sound}`), FILE, ok(documentOf(sound, 12)));
+    assert.deepEqual(report.findings, [
+      { place: 'fleet.toml: revision', message: 'is 11, and revision 12 is in force' },
+    ]);
+    assert.equal(exitCodeOf(report), ExitCode.Failure);
+  });
 });
--- a/packages/configuration/src/print.ts
+++ b/packages/configuration/src/print.ts
@@ -76,18 +76,28 @@
   }
 }
 
+/** A declaration that was read and is valid. */
+export interface CheckedDeclaration extends ParsedDeclaration {
+  /** The document that it declares, at the revision that it is based on, or at 0. */
+  readonly document: ConfigurationDocument;
+}
+
 /**
  * Checks a declaration that was read.
  *
  * @param value - the value
  * @param source - where it was read from
- * @returns the document that it declares, at revision 0 unless it names another one; or all findings
+ * @returns the declaration, or all findings
  */
 export function checkDeclaration(
   value: Readonly<Record<string, unknown>>,
   source: string,
-): Result<ConfigurationDocument, Finding[]> {
-  return checkDocument({ revision: 0, ...value }, source);
+): Result<CheckedDeclaration, Finding[]> {
+  return checkDocument({ revision: 0, ...value }, source).map((document) => ({
+    document,
+    declaration: declarationOf(document),
+    basedOn: value['revision'] === undefined ? undefined : document.revision,
+  }));
 }
 
 /**
@@ -100,10 +110,6 @@
 export function parseDeclaration(text: string, source: string): Result<ParsedDeclaration, Finding[]> {
   return readToml(text, source)
     .mapErr((finding) => [finding])
-    .andThen((value) =>
-      checkDeclaration(value, source).map((document) => ({
-        declaration: declarationOf(document),
-        basedOn: value['revision'] === undefined ? undefined : document.revision,
-      })),
-    );
+    .andThen((value) => checkDeclaration(value, source))
+    .map(({ declaration, basedOn }) => ({ declaration, basedOn }));
 }
