--- a/packages/observability/src/answer-queue.ts
+++ b/packages/observability/src/answer-queue.ts
@@ -1,8 +1,8 @@
 /**
  * Makes answers one after the other, each in a turn of the event loop of its own.
  *
- * Load pattern: clients outside the limits send requests ahead on many connections. An answer takes about a millisecond of processor
- * time; made in one turn, hundreds of them delay the requests of callers by as many milliseconds, and those are rejected.
+ * Load pattern: clients outside the limits send requests ahead on many connections. Made in one
+ * turn, hundreds of answers delay the requests of callers, which are then rejected as overloaded.
  */
 
 /** Answers that wait to be made. */
