Forwarding: an event that is too old for a renewal is no sign that memory is in use

What callers would see: a long prompt on several engines whose server falls silent after some events, while no engine lists its reservations, is not told that its memory is lost, and waits for the inactivity timeout in place of looking elsewhere.

Cause: counts the memory as used as of the last event, however old; the lease then ends, but the reservation is never given up.

Evidence: the new test of reservation-return had 0 notices in place of 1.

Change: the event counts only if a renewal may still count from it; else the check stays as it was.

Measured: 37 of 37 tests of reservations and idle-memory.

--- a/packages/forwarding/src/part-reservation.ts
+++ b/packages/forwarding/src/part-reservation.ts
@@ -165,9 +165,9 @@
     if (this.#isReleased) {
       return;
     }
-    const check = withLastEvent(this.#state, { use, isServerAlive, askedAtMs });
-    this.#state = afterCheck(this.#state, check.use);
     const nowMs = this.#context.clock.now();
+    const check = withLastEvent(this.#state, { use, isServerAlive, askedAtMs }, this.#times, nowMs);
+    this.#state = afterCheck(this.#state, check.use);
     switch (decideRenewal(this.#state, check, this.#times, nowMs)) {
       case RenewalDecision.Renew:
         this.#scheduleCheck(nextCheckMs(check, this.#times, nowMs), onIdle);
--- a/packages/forwarding/src/renewal.ts
+++ b/packages/forwarding/src/renewal.ts
@@ -205,16 +205,23 @@
 
 /**
  * Returns what a check shows together with the events of the answer. An engine that does not list its reservations says nothing
- * of their use; an event shows that the request ran when it arrived.
+ * of their use; an event shows that the request ran when it arrived, for as long as a renewal may count from it.
  *
  * @param state - the state before the check
  * @param check - the result of the check
+ * @param times - the durations of leases and checks
+ * @param nowMs - the current time, in milliseconds
  * @returns the check; as of the last event if only that shows the use
  */
-export function withLastEvent(state: ReservationState, check: ReservationCheck): ReservationCheck {
-  return check.use === MemoryUse.Unknown && Number.isFinite(state.lastEventAtMs)
-    ? { ...check, use: MemoryUse.Used, askedAtMs: state.lastEventAtMs }
-    : check;
+export function withLastEvent(
+  state: ReservationState,
+  check: ReservationCheck,
+  times: ReservationTimes,
+  nowMs: number,
+): ReservationCheck {
+  const asOfEvent = { ...check, use: MemoryUse.Used, askedAtMs: state.lastEventAtMs };
+  const isRecent = renewalLeaseMs(asOfEvent, times, nowMs) !== undefined;
+  return check.use === MemoryUse.Unknown && isRecent ? asOfEvent : check;
 }
 
 /**
--- a/packages/forwarding/test/reservation-return.test.ts
+++ b/packages/forwarding/test/reservation-return.test.ts
@@ -90,6 +90,16 @@
     assert.equal(engines.idleCount, 1);
   });
 
+  it('is given up when its lease ends after the last event, so that the request looks for another server', async () => {
+    const { engines, reservation } = await reserveInUse();
+    engines.stopAnswering('e1');
+    engines.stopAnswering('e2');
+    await engines.advance(2_500);
+    reservation.recordEvent();
+    await engines.advance(RETURN_MS);
+    assert.equal(engines.idleCount, 1);
+  });
+
   it('is not renewed for an event if the end of the answer has arrived after it', async () => {
     const { engines, reservation } = await reserveInUse();
     const checkMs = reservationTimes(bounds).checkIntervalMs;
